--- /dev/null
+++ b/crates/drill/src/start.rs
@@ -0,0 +1,111 @@
+//! The settings that an instance is handed at its start, as the wire words them.
+
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use lotussaddle::interface::{Product, RoutePlan, ServerNumber, Tenant};
+use serde::Deserialize;
+
+use crate::fields::millis;
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct StartSheet {
+    categories: Vec<Category>,
+    domain: Domain,
+    instances: u32,
+    limits: Limits,
+    #[serde(default)]
+    over_share_worth: f64,
+    rules: Rules,
+    #[serde(default)]
+    tenants: Vec<Party>,
+    tick_ms: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Category {
+    promise_ms: f64,
+    worth: f64,
+    #[serde(default)]
+    late_share: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Domain {
+    #[serde(default)]
+    class_cells: Vec<Vec<i64>>,
+    #[serde(default)]
+    release_guard_ms: f64,
+    #[serde(default)]
+    resend_ms: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Limits {
+    attempts_cap: u32,
+    #[serde(default)]
+    cancel: bool,
+    #[serde(default)]
+    may_probe: bool,
+    #[serde(default)]
+    peers: bool,
+    #[serde(default)]
+    retry_after: bool,
+    #[serde(default)]
+    max_retry_after_ms: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Rules {
+    cold_from: f64,
+    ramp_time_ms: f64,
+    tip_multiple: f64,
+    fall_ms: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Party {
+    quota_rps: f64,
+}
+
+pub fn route_plan(conf: &str) -> Result<RoutePlan> {
+    let sheet: StartSheet = serde_json::from_str(conf).context("conf cannot be read")?;
+    let StartSheet { domain, limits, rules, .. } = sheet;
+    let mut products = Vec::new();
+    for (place, category) in sheet.categories.iter().enumerate() {
+        products.push(Product {
+            promised: millis("promiseMs", category.promise_ms)?,
+            gain: category.worth,
+            late_share: category.late_share,
+            servers: domain
+                .class_cells
+                .get(place)
+                .map(|cells| cells.iter().copied().map(ServerNumber).collect()),
+        });
+    }
+    let longest_return = if limits.retry_after { limits.max_retry_after_ms } else { 0.0 };
+    Ok(RoutePlan {
+        products,
+        tenants: sheet.tenants.iter().map(|t| Tenant { quota: t.quota_rps }).collect(),
+        over_quota_share: sheet.over_share_worth,
+        proxies: sheet.instances,
+        tick: millis("tickMs", sheet.tick_ms)?.max(Duration::from_micros(1)),
+        release: millis("releaseGuardMs", domain.release_guard_ms)?,
+        resend: millis("resendMs", domain.resend_ms)?,
+        max_launches: limits.attempts_cap,
+        may_cancel: limits.cancel,
+        may_probe: limits.may_probe,
+        may_tell_peers: limits.peers,
+        longest_return: millis("maxRetryAfterMs", longest_return)?,
+        cold_share: rules.cold_from,
+        warm_after: millis("rampTimeMs", rules.ramp_time_ms)?,
+        fall_multiple: rules.tip_multiple,
+        fall_span: millis("fallMs", rules.fall_ms)?,
+    })
+}
--- /dev/null
+++ b/crates/drill/src/wire.rs
@@ -0,0 +1,253 @@
+//! Reads the wire line by line and turns each line straight into a call on the decisions.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{Context, Result, bail, ensure};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD as BASE64;
+use lotussaddle::brain::Brain;
+use lotussaddle::interface::*;
+
+use crate::fields::{Fields, millis, parse};
+use crate::reply::Reply;
+use crate::start;
+
+#[derive(Default)]
+pub struct Wire {
+    now: Duration,
+    /// The number of the batch that is open.
+    frame: Option<String>,
+    selected: Option<u32>,
+    instances: BTreeMap<u32, Instance>,
+    lists: BTreeMap<u8, Vec<ListEntry>>,
+    /// The list whose entries are still coming, and how many.
+    filling: Option<(u8, usize)>,
+    reply: Reply,
+}
+
+struct Instance {
+    brain: Brain,
+    products: usize,
+    /// Core servers that a list has named to it.
+    known: BTreeSet<ServerId>,
+}
+
+impl Wire {
+    /// Takes one line; gives the reply when it closes a batch.
+    pub fn line(&mut self, line: &str) -> Result<Option<String>> {
+        if line.is_empty() {
+            return Ok(None);
+        }
+        let (name, rest) = line.split_once(' ').unwrap_or((line, ""));
+        self.message(name, rest).with_context(|| format!("{name} message"))
+    }
+
+    /// The input has ended.
+    pub fn end(&self) -> Result<()> {
+        match &self.frame {
+            Some(frame) => bail!("the input ends within batch {frame}"),
+            None => Ok(()),
+        }
+    }
+
+    fn message(&mut self, name: &str, rest: &str) -> Result<Option<String>> {
+        let fields = Fields::read(rest, (name == "ENLIST").then_some("conf"))?;
+        if name == "MARK" {
+            ensure!(self.frame.is_none(), "a batch is still open");
+            self.now = fields.time("clockMs")?;
+            self.frame = Some(fields.whole::<u64>("frame")?.to_string());
+            self.selected = None;
+            return Ok(None);
+        }
+        ensure!(self.frame.is_some(), "it stands outside a batch");
+        if name == "ENTRY" {
+            self.entry(&fields)?;
+            return Ok(None);
+        }
+        if let Some((list, missing)) = self.filling {
+            bail!("{missing} entries of list {list} are still to come");
+        }
+        match name {
+            "EOF_BATCH" => return Ok(self.frame.take().map(|frame| self.reply.finish(&frame))),
+            "SELECT" => self.selected = Some(fields.whole("proxyId")?),
+            "REGISTER" => {
+                let (list, entries) = (fields.whole("list")?, fields.whole("elements")?);
+                ensure!(list < 16, "list={list} is over 15");
+                self.lists.insert(list, Vec::new());
+                self.filling = Some((list, entries)).filter(|_| entries > 0);
+            }
+            "ENLIST" => {
+                let plan = start::route_plan(fields.need("conf")?)?;
+                let products = plan.products.len();
+                let brain = Brain::new(plan, fields.whole("rngSeed")?);
+                let number = self.selected.context("no instance is selected")?;
+                self.instances.insert(number, Instance { brain, products, known: BTreeSet::new() });
+            }
+            "DESTROY" => {
+                self.instance()?;
+                self.selected.map(|number| self.instances.remove(&number));
+            }
+            "SYNC" => self.sync(&fields)?,
+            "ORDER" => self.order(&fields)?,
+            "ABORTED" => {
+                let id = dialogue(&fields)?;
+                let now = self.now;
+                let (instance, reply) = self.instance()?;
+                instance.brain.left(now, &id, reply);
+            }
+            "STATUS_BACK" => {
+                let (server, report) = (server(&fields)?, load_report(&fields)?);
+                outcome(fields.need("outcome")?)?;
+                let asked = fields.time("durationMs")? > Duration::ZERO;
+                let now = self.now;
+                let (instance, reply) = self.instance()?;
+                instance.brain.reported(now, &server, &report, asked, reply);
+            }
+            "REPLY" => {
+                let end = LaunchEnd {
+                    dialogue: dialogue(&fields)?,
+                    launch: LaunchNo(fields.whole("n")?),
+                    server: server(&fields)?,
+                    outcome: outcome(fields.need("outcome")?)?,
+                    closed: fields.flag("noMore")?,
+                    report: load_report(&fields)?,
+                };
+                let now = self.now;
+                let (instance, reply) = self.instance()?;
+                instance.brain.ended(now, end, reply);
+            }
+            "STARTED" => {
+                let (id, server) = (dialogue(&fields)?, server(&fields)?);
+                let launch = LaunchNo(fields.whole("n")?);
+                let now = self.now;
+                let (instance, reply) = self.instance()?;
+                instance.brain.stands(now, &id, launch, &server, reply);
+            }
+            "ALARM" => {
+                let timer = TimerId(fields.whole("name")?);
+                let now = self.now;
+                let (instance, reply) = self.instance()?;
+                instance.brain.alarm(now, timer, reply);
+            }
+            "HEARD" => {
+                let peer = PeerId(fields.whole("who")?);
+                let message = match fields.need("content")? {
+                    "-" => Vec::new(),
+                    text => BASE64.decode(text).with_context(|| format!("content={text} is no base64"))?,
+                };
+                let now = self.now;
+                let (instance, reply) = self.instance()?;
+                instance.brain.heard(now, peer, &message, reply);
+            }
+            _ => bail!("no known message"),
+        }
+        Ok(None)
+    }
+
+    fn instance(&mut self) -> Result<(&mut Instance, &mut Reply)> {
+        let number = self.selected.context("no instance is selected")?;
+        let instance = self.instances.get_mut(&number);
+        self.reply.instance = number;
+        Ok((instance.with_context(|| format!("instance {number} is not enlisted"))?, &mut self.reply))
+    }
+
+    fn entry(&mut self, fields: &Fields) -> Result<()> {
+        let (list, missing) = self.filling.context("no list is being registered")?;
+        let listed = match fields.need("readiness")? {
+            "active" => Listed::Active,
+            "leaving" => Listed::Leaving,
+            "left" => Listed::Gone,
+            other => bail!("readiness={other} is not known"),
+        };
+        let since = fields.get("sinceMs").map_or(Ok(0.0), |text| parse("sinceMs", text))?;
+        let entry = ListEntry {
+            server: server(fields)?,
+            number: ServerNumber(fields.whole("number")?),
+            listed,
+            since: millis("sinceMs", since)?,
+        };
+        self.lists.entry(list).or_default().push(entry);
+        self.filling = Some((list, missing - 1)).filter(|(_, missing)| *missing > 0);
+        Ok(())
+    }
+
+    fn sync(&mut self, fields: &Fields) -> Result<()> {
+        let whole = match fields.need("form")? {
+            "delta" => false,
+            "full" | "cached" => true,
+            "failed" => return self.instance().map(|_| ()),
+            other => bail!("form={other} is not known"),
+        };
+        let number = fields.whole("list")?;
+        let entries =
+            self.lists.get(&number).with_context(|| format!("list {number} was never registered"))?;
+        let entries = entries.clone();
+        let now = self.now;
+        let (instance, reply) = self.instance()?;
+        instance.known.extend(entries.iter().map(|entry| entry.server.clone()));
+        instance.brain.listed(now, whole, &entries, reply);
+        Ok(())
+    }
+
+    fn order(&mut self, fields: &Fields) -> Result<()> {
+        let arrival = Arrival {
+            id: dialogue(fields)?,
+            product: ProductId(fields.whole("grade")?),
+            tenant: fields.get("party").map(|text| parse("party", text).map(TenantId)).transpose()?,
+            first_choice: ServerNumber(fields.number("dest")? as i64),
+            width: fields.get("units").map_or(Ok(1.0), |_| fields.number("units"))?,
+            cut_off: fields.time("clientDeadlineMs")?,
+            again: fields.flag("againByClient")?,
+            came_back: fields.flag("cameBack")?,
+        };
+        let now = self.now;
+        let (instance, reply) = self.instance()?;
+        ensure!(arrival.product.0 < instance.products, "grade={} is no product", arrival.product.0);
+        instance.brain.arrived(now, arrival, reply);
+        Ok(())
+    }
+}
+
+fn dialogue(fields: &Fields) -> Result<DialogueId> {
+    Ok(DialogueId(Arc::from(fields.need("call")?)))
+}
+
+fn server(fields: &Fields) -> Result<ServerId> {
+    Ok(ServerId(Arc::from(fields.need("server")?)))
+}
+
+fn outcome(word: &str) -> Result<Outcome> {
+    Ok(match word {
+        "delivered" => Outcome::Ended,
+        "app_error" => Outcome::Fault,
+        "shed" => Outcome::TurnedBack,
+        "expired" => Outcome::TimedOut,
+        "dial_failed" => Outcome::Unreachable,
+        "dropped" => Outcome::BrokenOff,
+        "revoked" => Outcome::CalledOff,
+        "unused" => Outcome::NotSent,
+        other => bail!("outcome={other} is not known"),
+    })
+}
+
+/// Negative figures stand for what was not told.
+fn load_report(fields: &Fields) -> Result<LoadReport> {
+    let mut report = LoadReport::default();
+    let usage = fields.get("usage").unwrap_or_default();
+    for pair in usage.split(',').filter(|pair| !pair.is_empty() && *pair != "-") {
+        let (name, value) = pair.split_once(':').with_context(|| format!("no value in usage {pair}"))?;
+        let value: f64 = parse(name, value)?;
+        let told = Some(value).filter(|v| *v >= 0.0 && v.is_finite());
+        match name {
+            "spare" => report.free_lines = told,
+            "load_share" => report.busy = told,
+            "depth" => report.queue = told,
+            "mean_ms" => report.wait = told.map(|v| millis(name, v)).transpose()?,
+            "allowed" => report.rate = told,
+            _ => {}
+        }
+    }
+    Ok(report)
+}
