A run of misses, not one broken set-up, sets a server aside

Also covers single lost connections. Harm: a server that dies is tried by two more dialogues before it is left.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -26,6 +26,8 @@
 const COLD_MARGIN: f64 = 0.7;
 /// The longest time between two trials of a server set aside.
 const LONGEST_REST: Duration = Duration::from_secs(4);
+/// So many launches in a row that come to nothing put a server aside.
+const MISSES: u32 = 3;
 /// Weight of the newest answer in a smoothed figure.
 const NEWEST: f64 = 0.2;
 /// Answers a second are smoothed over this time.
@@ -79,6 +81,9 @@
     limit: f64,
     cut_at: Duration,
     last_sign: Duration,
+    /// Launches in a row that came to nothing, and whether such a run put it aside.
+    misses: u32,
+    was_down: bool,
     last_launch: Duration,
     /// Smoothed time to an answer, its spread, and answers a second, all in seconds.
     usual: f64,
@@ -266,9 +271,11 @@
         self.clock(now);
         self.look = true;
         let out_since = match end.outcome {
-            Outcome::TimedOut | Outcome::CalledOff | Outcome::Unreachable | Outcome::NotSent => {
-                self.servers.get_mut(&end.server).and_then(|s| s.take_out(&end.dialogue))
-            }
+            Outcome::TimedOut
+            | Outcome::CalledOff
+            | Outcome::Unreachable
+            | Outcome::NotSent
+            | Outcome::BrokenOff => self.servers.get_mut(&end.server).and_then(|s| s.take_out(&end.dialogue)),
             _ => self.answered(&end.dialogue, &end.server, out),
         };
         let rest = self.figures.silence;
@@ -280,9 +287,9 @@
                     server.cut(now);
                 }
                 Outcome::NotSent => server.told_free = Some(0.0),
-                Outcome::Unreachable => server.set_aside(now, rest, "out of reach", &end.server, out),
+                Outcome::Unreachable => server.missed(now, rest, "out of reach", &end.server, out),
                 Outcome::BrokenOff if out_since.is_some() => {
-                    server.set_aside(now, rest, "broken off", &end.server, out);
+                    server.missed(now, rest, "broken off", &end.server, out);
                 }
                 _ => {}
             }
@@ -527,13 +534,16 @@
         let server = self.servers.get_mut(server)?;
         let at = server.take_out(id);
         server.last_sign = self.now;
+        server.misses = 0;
         if let Mode::Aside { .. } = server.mode
             && at.is_some()
         {
-            // It may have died and started unseen, so it counts as cold from here.
             server.mode = Mode::Serving;
             server.limit = 1.0;
-            server.started = Some(self.now);
+            if std::mem::take(&mut server.was_down) {
+                // It has died and started before the list told, so it counts as cold from here.
+                server.started = Some(self.now);
+            }
             out.log(&format!("{} back after a trial of {:?}", name.0, self.now - at.unwrap_or_default()));
         }
         at
@@ -553,6 +563,8 @@
             limit: FIRST_LIMIT,
             cut_at: Duration::ZERO,
             last_sign: now,
+            misses: 0,
+            was_down: false,
             last_launch: Duration::ZERO,
             usual: 0.0,
             spread: 0.0,
@@ -611,6 +623,16 @@
         f.silence.max(Duration::from_secs_f64(self.usual + 4.0 * self.spread))
     }
 
+    /// A launch came to nothing. One miss may be chance, as where set-ups are now and then broken off;
+    /// a run of them without an answer is a server in trouble.
+    fn missed(&mut self, now: Duration, rest: Duration, why: &str, id: &ServerId, out: &mut dyn Signalling) {
+        self.misses += 1;
+        if self.misses >= MISSES {
+            self.was_down = true;
+            self.set_aside(now, rest, why, id, out);
+        }
+    }
+
     fn set_aside(
         &mut self, now: Duration, rest: Duration, why: &str, id: &ServerId, out: &mut dyn Signalling,
     ) {
