--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -106,11 +106,16 @@
                 instance.brain.reported(now, &server, &report, asked, reply);
             }
             "REPLY" => {
+                let cause =
+                    fields.get("clearCode").map(|text| parse::<i64>("clearCode", text)).transpose()?;
                 let end = LaunchEnd {
                     dialogue: dialogue(&fields)?,
                     launch: LaunchNo(fields.whole("n")?),
                     server: server(&fields)?,
-                    outcome: outcome(fields.need("outcome")?)?,
+                    outcome: match (outcome(fields.need("outcome")?)?, cause) {
+                        (Outcome::TurnedBack, Some(1)) => Outcome::LinesTaken,
+                        (outcome, _) => outcome,
+                    },
                     closed: fields.flag("noMore")?,
                     report: load_report(&fields)?,
                 };
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -286,7 +286,8 @@
                     server.told_free = Some(0.0);
                     server.cut(now);
                 }
-                Outcome::NotSent => server.told_free = Some(0.0),
+                // Lines ran out, not the processor: the design's own rule, and no cut.
+                Outcome::LinesTaken | Outcome::NotSent => server.told_free = Some(0.0),
                 Outcome::Unreachable => server.missed(now, rest, "out of reach", &end.server, out),
                 Outcome::BrokenOff if out_since.is_some() => {
                     server.missed(now, rest, "broken off", &end.server, out);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -124,7 +124,10 @@
 pub enum Outcome {
     Ended,
     Fault,
+    /// Turned back by a processor with too long a wait.
     TurnedBack,
+    /// Turned back for want of a free line.
+    LinesTaken,
     TimedOut,
     Unreachable,
     BrokenOff,
