A broken set-up shuns its server for that dialogue only; out-of-reach runs set aside

Told from a crash: others are answered in between and none is out of reach. Harm: a server that breaks off all it is sent keeps being first choice until out of reach.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -26,8 +26,8 @@
 const COLD_MARGIN: f64 = 0.7;
 /// The longest time between two trials of a server set aside.
 const LONGEST_REST: Duration = Duration::from_secs(4);
-/// So many launches in a row that come to nothing put a server aside.
-const MISSES: u32 = 3;
+/// So many launches in a row that do not reach a server put it aside.
+const MISSES: u32 = 2;
 /// Weight of the newest answer in a smoothed figure.
 const NEWEST: f64 = 0.2;
 /// Answers a second are smoothed over this time.
@@ -81,7 +81,7 @@
     limit: f64,
     cut_at: Duration,
     last_sign: Duration,
-    /// Launches in a row that came to nothing, and whether such a run put it aside.
+    /// Launches in a row that did not reach it, and whether such a run put it aside.
     misses: u32,
     was_down: bool,
     last_launch: Duration,
@@ -109,6 +109,8 @@
     /// Where its launch is out, and whether that was called off.
     at: Option<ServerId>,
     called_off: bool,
+    /// Where its last launch was lost: taken again only where no other server qualifies.
+    shunned: Option<ServerId>,
     not_before: Duration,
 }
 
@@ -216,6 +218,7 @@
             launches: 0,
             at: None,
             called_off: false,
+            shunned: None,
             not_before: now,
         };
         self.due = self.due.into_iter().chain([self.next_due_of(&dialogue)]).min();
@@ -288,10 +291,7 @@
                 }
                 // Lines ran out, not the processor: the design's own rule, and no cut.
                 Outcome::LinesTaken | Outcome::NotSent => server.told_free = Some(0.0),
-                Outcome::Unreachable => server.missed(now, rest, "out of reach", &end.server, out),
-                Outcome::BrokenOff if out_since.is_some() => {
-                    server.missed(now, rest, "broken off", &end.server, out);
-                }
+                Outcome::Unreachable => server.missed(now, rest, &end.server, out),
                 _ => {}
             }
         }
@@ -304,7 +304,9 @@
                 // What it held may stay taken until the release (rule 5).
                 Outcome::TimedOut | Outcome::BrokenOff | Outcome::CalledOff => {
                     dialogue.not_before = now + self.figures.release;
+                    dialogue.shunned = Some(end.server);
                 }
+                Outcome::Unreachable => dialogue.shunned = Some(end.server),
                 _ => dialogue.turned_back += 1,
             }
         }
@@ -492,8 +494,13 @@
                 .filter(|(_, s)| able.as_ref().is_none_or(|able| able.contains(&s.number)));
             fit.filter(|(_, s)| self.qualifies(s, dialogue.width, warm_rate))
         };
-        let first = qualifying().find(|(_, s)| s.number == dialogue.first_choice);
-        let most_free = || qualifying().max_by(|(_, a), (_, b)| a.estimate().total_cmp(&b.estimate()));
+        let shunned = |id: &ServerId| dialogue.shunned.as_ref() == Some(id);
+        let first = qualifying().find(|(id, s)| s.number == dialogue.first_choice && !shunned(id));
+        let most_free = || {
+            qualifying().max_by(|(a_id, a), (b_id, b)| {
+                shunned(b_id).cmp(&shunned(a_id)).then(a.estimate().total_cmp(&b.estimate()))
+            })
+        };
         first.or_else(most_free).map(|(id, _)| id.clone())
     }
 
@@ -624,13 +631,13 @@
         f.silence.max(Duration::from_secs_f64(self.usual + 4.0 * self.spread))
     }
 
-    /// A launch came to nothing. One miss may be chance, as where set-ups are now and then broken off;
-    /// a run of them without an answer is a server in trouble.
-    fn missed(&mut self, now: Duration, rest: Duration, why: &str, id: &ServerId, out: &mut dyn Signalling) {
+    /// Out of reach. One miss may be chance; a run of them without an answer between is a server down.
+    /// A set-up broken off is no miss: a server can do that to some and serve the rest well.
+    fn missed(&mut self, now: Duration, rest: Duration, id: &ServerId, out: &mut dyn Signalling) {
         self.misses += 1;
         if self.misses >= MISSES {
             self.was_down = true;
-            self.set_aside(now, rest, why, id, out);
+            self.set_aside(now, rest, "out of reach", id, out);
         }
     }
 
