Newest first among equal gain in the waiting room

Also covers answer times that are guessed too short. Harm: in a short surge the oldest wait longest.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -462,7 +462,7 @@
         }
         let mut waiting: Vec<(&DialogueId, &Dialogue)> =
             self.dialogues.iter().filter(|(_, d)| d.at.is_none() && self.now >= d.not_before).collect();
-        waiting.sort_by(|(_, a), (_, b)| b.gain.total_cmp(&a.gain).then(a.promised.cmp(&b.promised)));
+        waiting.sort_by(|(_, a), (_, b)| b.gain.total_cmp(&a.gain).then(b.promised.cmp(&a.promised)));
         let chosen = waiting.into_iter().find_map(|(id, d)| Some((id.clone(), self.choose(d)?)));
         let Some((id, server_id)) = chosen else { return false };
         let dialogue = self.dialogues.get_mut(&id).expect("just found");
