--- a/src/brain.rs
+++ b/src/brain.rs
@@ -28,6 +28,8 @@
 const LONGEST_REST: Duration = Duration::from_secs(4);
 /// So many launches in a row that do not reach a server put it aside.
 const MISSES: u32 = 2;
+/// A slow server's patience grows to at most this many times the usual.
+const LONGEST_DOUBT: u32 = 4;
 /// Weight of the newest answer in a smoothed figure.
 const NEWEST: f64 = 0.2;
 /// Answers a second are smoothed over this time.
@@ -84,6 +86,8 @@
     /// Launches in a row that did not reach it, and whether such a run put it aside.
     misses: u32,
     was_down: bool,
+    /// Times its patience: doubles with each silence that proves to be mere slowness.
+    doubt: u32,
     last_launch: Duration,
     /// Smoothed time to an answer, its spread, and answers a second, all in seconds.
     usual: f64,
@@ -573,6 +577,7 @@
             last_sign: now,
             misses: 0,
             was_down: false,
+            doubt: 1,
             last_launch: Duration::ZERO,
             usual: 0.0,
             spread: 0.0,
@@ -609,6 +614,7 @@
         self.rate = self.rate_now(now) + 1.0 / RATE_SPAN;
         self.rate_at = now;
         if wait <= f.ease {
+            self.doubt = 1;
             if (self.out.len() + 2) as f64 > self.limit {
                 self.limit += 1.0 / self.limit.max(1.0);
             }
@@ -628,7 +634,7 @@
 
     /// How long it may keep silent.
     fn patience(&self, f: &Figures) -> Duration {
-        f.silence.max(Duration::from_secs_f64(self.usual + 4.0 * self.spread))
+        f.silence.max(Duration::from_secs_f64(self.usual + 4.0 * self.spread)) * self.doubt
     }
 
     /// Out of reach. One miss may be chance; a run of them without an answer between is a server down.
@@ -645,6 +651,7 @@
         &mut self, now: Duration, rest: Duration, why: &str, id: &ServerId, out: &mut dyn Signalling,
     ) {
         if matches!(self.mode, Mode::Serving) {
+            self.doubt = (self.doubt * 2).min(LONGEST_DOUBT);
             self.mode = Mode::Aside { trial_at: now + rest, rest };
             out.log(&format!("{} set aside: {why}, {} out", id.0, self.out.len()));
         }
