--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -112,10 +112,7 @@
                     dialogue: dialogue(&fields)?,
                     launch: LaunchNo(fields.whole("n")?),
                     server: server(&fields)?,
-                    outcome: match (outcome(fields.need("outcome")?)?, cause) {
-                        (Outcome::TurnedBack, Some(1)) => Outcome::LinesTaken,
-                        (outcome, _) => outcome,
-                    },
+                    outcome: outcome(fields.need("outcome")?)?,
                     closed: fields.flag("noMore")?,
                     report: load_report(&fields)?,
                 };
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -293,8 +293,7 @@
                     server.told_free = Some(0.0);
                     server.cut(now);
                 }
-                // Lines ran out, not the processor: the design's own rule, and no cut.
-                Outcome::LinesTaken | Outcome::NotSent => server.told_free = Some(0.0),
+                Outcome::NotSent => server.told_free = Some(0.0),
                 Outcome::Unreachable => server.missed(now, rest, &end.server, out),
                 _ => {}
             }
@@ -616,7 +615,7 @@
         if wait <= f.ease {
             self.doubt = 1;
             if (self.out.len() + 2) as f64 > self.limit {
-                self.limit += 1.0 / self.limit.max(1.0);
+                self.limit += self.limit.min(1.0 / self.limit);
             }
         } else if now - wait >= self.cut_at {
             self.cut(now);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -124,10 +124,8 @@
 pub enum Outcome {
     Ended,
     Fault,
-    /// Turned back by a processor with too long a wait.
+    /// No line free there, or too long a wait at its processor.
     TurnedBack,
-    /// Turned back for want of a free line.
-    LinesTaken,
     TimedOut,
     Unreachable,
     BrokenOff,
