Cold budget from the most that a server or its forerunner has borne

Also covers restarts under the same id. Harm: a replacement weaker than its forerunner gets more than it can do.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -32,8 +32,9 @@
 const LONGEST_DOUBT: u32 = 4;
 /// Weight of the newest answer in a smoothed figure.
 const NEWEST: f64 = 0.2;
-/// Answers a second are smoothed over this time.
+/// Answers a second are smoothed over this time, in seconds, and the most borne fades over the other.
 const RATE_SPAN: f64 = 5.0;
+const BORNE_SPAN: f64 = 60.0;
 
 /// The figures that decisions use, made from the route plan at start.
 struct Figures {
@@ -94,6 +95,8 @@
     spread: f64,
     rate: f64,
     rate_at: Duration,
+    /// The most answers a second it has borne from here, its predecessor's of the same number included.
+    borne: f64,
 }
 
 struct Out {
@@ -195,16 +198,23 @@
         }
         for entry in entries {
             let started = Some(entry.since).filter(|s| !s.is_zero());
-            let server = self.servers.entry(entry.server.clone()).or_insert_with(|| Server::new(entry, now));
+            let same = self.servers.values().filter(|s| s.number == entry.number);
+            let borne = same.map(|s| s.borne).fold(0.0, f64::max);
+            let fresh = || Server { borne, ..Server::new(entry, now) };
+            let server = self.servers.entry(entry.server.clone()).or_insert_with(fresh);
             server.number = entry.number;
             server.listed = entry.listed;
             if started > server.started {
                 // A new start under the old id: nothing learned before holds.
                 let out = std::mem::take(&mut server.out);
-                *server = Server { out, ..Server::new(entry, now) };
+                *server = Server { out, ..fresh() };
             }
         }
-        self.servers.retain(|_, s| s.listed != Listed::Gone || !s.out.is_empty());
+        // One that is gone is kept until another takes its number: what it bore tells of the next.
+        let active: Vec<ServerNumber> =
+            self.servers.values().filter(|s| s.listed == Listed::Active).map(|s| s.number).collect();
+        let spent = |s: &Server| s.listed == Listed::Gone && s.out.is_empty() && active.contains(&s.number);
+        self.servers.retain(|_, s| !spent(s));
         self.settle(out);
     }
 
@@ -535,8 +545,8 @@
     /// Answers a second that this proxy has from a warm server: what the others see scales alike.
     fn warm_rate(&self) -> f64 {
         let warm = self.servers.values().filter(|s| s.cold_level(self.now, &self.figures).is_none());
-        let rates: Vec<f64> = warm.map(|s| s.rate_now(self.now)).collect();
-        rates.iter().sum::<f64>() / rates.len().max(1) as f64
+        let borne: Vec<f64> = warm.map(|s| s.borne).collect();
+        borne.iter().sum::<f64>() / borne.len().max(1) as f64
     }
 
     /// A server has answered a launch of this dialogue: a sign of life that ends any silence.
@@ -582,6 +592,7 @@
             spread: 0.0,
             rate: 0.0,
             rate_at: now,
+            borne: 0.0,
         }
     }
 
@@ -611,6 +622,8 @@
         self.spread += NEWEST * ((w - self.usual).abs() - self.spread);
         self.usual += NEWEST * (w - self.usual);
         self.rate = self.rate_now(now) + 1.0 / RATE_SPAN;
+        let fall = (-(now - self.rate_at).as_secs_f64() / BORNE_SPAN).exp();
+        self.borne = (self.borne * fall).max(self.rate);
         self.rate_at = now;
         if wait <= f.ease {
             self.doubt = 1;
@@ -673,7 +686,7 @@
             at = at.max(self.last_launch + Duration::from_secs_f64(self.usual / self.limit));
         }
         if let Some(level) = self.cold_level(self.last_launch, f) {
-            let rate = (warm_rate * level * f.cold_multiple).max(0.1);
+            let rate = (warm_rate.max(self.borne) * level * f.cold_multiple).max(0.1);
             at = at.max(self.last_launch + Duration::from_secs_f64(1.0 / rate));
         }
         at
