Further tries measured from the first dial; tests of each failure so far

The dialled key tells the caller again while it may dial. Also covers callers that leave early. Harm: two callers who dial one number in turn are taken for one.

--- a/crates/drill/src/start.rs
+++ b/crates/drill/src/start.rs
@@ -12,6 +12,8 @@
 #[serde(rename_all = "camelCase")]
 struct StartSheet {
     categories: Vec<Category>,
+    #[serde(default)]
+    client_habits: Habits,
     domain: Domain,
     instances: u32,
     limits: Limits,
@@ -27,11 +29,19 @@
 #[serde(rename_all = "camelCase")]
 struct Category {
     promise_ms: f64,
+    hard_limit_ms: f64,
     worth: f64,
     #[serde(default)]
     late_share: f64,
 }
 
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Habits {
+    #[serde(default)]
+    marks_retry: bool,
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Domain {
@@ -81,6 +91,7 @@
     for (place, category) in sheet.categories.iter().enumerate() {
         products.push(Product {
             promised: millis("promiseMs", category.promise_ms)?,
+            patience: millis("hardLimitMs", category.hard_limit_ms)?,
             gain: category.worth,
             late_share: category.late_share,
             servers: domain
@@ -99,6 +110,7 @@
         release: millis("releaseGuardMs", domain.release_guard_ms)?,
         resend: millis("resendMs", domain.resend_ms)?,
         max_launches: limits.attempts_cap,
+        marks_again: sheet.client_habits.marks_retry,
         may_cancel: limits.cancel,
         may_probe: limits.may_probe,
         may_tell_peers: limits.peers,
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -106,8 +106,6 @@
                 instance.brain.reported(now, &server, &report, asked, reply);
             }
             "REPLY" => {
-                let cause =
-                    fields.get("clearCode").map(|text| parse::<i64>("clearCode", text)).transpose()?;
                 let end = LaunchEnd {
                     dialogue: dialogue(&fields)?,
                     launch: LaunchNo(fields.whole("n")?),
@@ -196,6 +194,7 @@
     fn order(&mut self, fields: &Fields) -> Result<()> {
         let arrival = Arrival {
             id: dialogue(fields)?,
+            key: fields.get("nameKey").map(|key| DialledKey(Arc::from(key))),
             product: ProductId(fields.whole("grade")?),
             tenant: fields.get("party").map(|text| parse("party", text).map(TenantId)).transpose()?,
             first_choice: ServerNumber(fields.number("dest")? as i64),
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -46,6 +46,7 @@
     /// No sign of life for this long while a launch is out is silence, whatever the usual wait.
     silence: Duration,
     max_launches: u32,
+    marks_again: bool,
     may_cancel: bool,
     come_back: Option<Duration>,
     cold_share: f64,
@@ -56,6 +57,7 @@
 
 struct Worth {
     promised: Duration,
+    patience: Duration,
     gain: f64,
     late_gain: f64,
     servers: Option<Vec<ServerNumber>>,
@@ -101,11 +103,14 @@
 
 struct Out {
     dialogue: DialogueId,
+    launch: LaunchNo,
     at: Duration,
 }
 
 struct Dialogue {
     product: usize,
+    key: Option<DialledKey>,
+    first_dialled: Duration,
     first_choice: ServerNumber,
     width: f64,
     promised: Duration,
@@ -125,6 +130,8 @@
     figures: Figures,
     servers: BTreeMap<ServerId, Server>,
     dialogues: BTreeMap<DialogueId, Dialogue>,
+    /// Callers let go who may dial again: when they first dialled, and until when they may.
+    let_go: BTreeMap<DialledKey, (Duration, Duration)>,
     now: Duration,
     /// Something beyond arrivals has changed since the rules were last gone through.
     look: bool,
@@ -156,6 +163,7 @@
         }
         let products = plan.products.into_iter().map(|p| Worth {
             promised: p.promised,
+            patience: p.patience,
             gain: p.gain,
             late_gain: p.gain * p.late_share,
             servers: p.servers,
@@ -167,6 +175,7 @@
             ease,
             silence: tightest / 2,
             max_launches: plan.max_launches,
+            marks_again: plan.marks_again,
             may_cancel: plan.may_cancel,
             come_back: Some(plan.longest_return).filter(|d| !d.is_zero()),
             cold_share: plan.cold_share,
@@ -177,6 +186,7 @@
             figures,
             servers: BTreeMap::new(),
             dialogues: BTreeMap::new(),
+            let_go: BTreeMap::new(),
             now: Duration::ZERO,
             look: true,
             due: None,
@@ -221,13 +231,21 @@
     pub fn arrived(&mut self, now: Duration, arrival: Arrival, out: &mut dyn Signalling) {
         self.clock(now);
         let worth = &self.figures.products[arrival.product.0];
+        // A further try is measured from the first one: past the promised time little of its gain is left.
+        let may_be_again = arrival.again || !self.figures.marks_again;
+        let before = arrival.key.as_ref().filter(|_| may_be_again).and_then(|key| self.let_go.remove(key));
+        let first_dialled = before.map_or(now, |(first, _)| first);
+        let late = now >= first_dialled + worth.promised
+            || (arrival.again && !arrival.came_back && before.is_none());
         let dialogue = Dialogue {
             product: arrival.product.0,
+            key: arrival.key,
+            first_dialled,
             first_choice: arrival.first_choice,
             width: arrival.width,
-            promised: now + worth.promised,
+            promised: worth.promised + if late { now } else { first_dialled },
             cut_off: arrival.cut_off,
-            gain: if arrival.again { worth.late_gain } else { worth.gain },
+            gain: if late { worth.late_gain } else { worth.gain },
             turned_back: 0,
             launches: 0,
             at: None,
@@ -243,12 +261,12 @@
     /// The caller has left.
     pub fn left(&mut self, now: Duration, id: &DialogueId, out: &mut dyn Signalling) {
         self.clock(now);
-        if let Some(dialogue) = self.dialogues.remove(id)
+        if let Some(dialogue) = self.let_go(id)
             && dialogue.at.is_some()
             && !dialogue.called_off
             && self.figures.may_cancel
         {
-            out.cancel(id, LaunchNo(dialogue.launches - 1));
+            out.cancel(id, dialogue.last_launch());
         }
         self.settle(out);
     }
@@ -269,13 +287,13 @@
 
     /// The dialogue stands.
     pub fn stands(
-        &mut self, now: Duration, id: &DialogueId, _launch: LaunchNo, server: &ServerId,
+        &mut self, now: Duration, id: &DialogueId, launch: LaunchNo, server: &ServerId,
         out: &mut dyn Signalling,
     ) {
         self.clock(now);
         self.look = true;
         self.dialogues.remove(id);
-        if let Some(at) = self.answered(id, server, out) {
+        if let Some(at) = self.answered(id, launch, server, out) {
             let figures = &self.figures;
             let server = self.servers.get_mut(server).expect("it has answered");
             server.learn(now, now - at, figures);
@@ -287,14 +305,14 @@
     pub fn ended(&mut self, now: Duration, end: LaunchEnd, out: &mut dyn Signalling) {
         self.clock(now);
         self.look = true;
-        let out_since = match end.outcome {
-            Outcome::TimedOut
-            | Outcome::CalledOff
-            | Outcome::Unreachable
-            | Outcome::NotSent
-            | Outcome::BrokenOff => self.servers.get_mut(&end.server).and_then(|s| s.take_out(&end.dialogue)),
-            _ => self.answered(&end.dialogue, &end.server, out),
-        };
+        match end.outcome {
+            Outcome::Ended | Outcome::Fault | Outcome::TurnedBack => {
+                self.answered(&end.dialogue, end.launch, &end.server, out);
+            }
+            _ => {
+                self.servers.get_mut(&end.server).and_then(|s| s.take_out(&end.dialogue, end.launch));
+            }
+        }
         let rest = self.figures.silence;
         if let Some(server) = self.servers.get_mut(&end.server) {
             server.read(&end.report);
@@ -310,7 +328,10 @@
         }
         if end.closed {
             self.dialogues.remove(&end.dialogue);
-        } else if let Some(dialogue) = self.dialogues.get_mut(&end.dialogue) {
+        } else if let Some(dialogue) = self.dialogues.get_mut(&end.dialogue)
+            && dialogue.at.as_ref() == Some(&end.server)
+            && dialogue.last_launch() == end.launch
+        {
             dialogue.at = None;
             dialogue.called_off = false;
             match end.outcome {
@@ -340,7 +361,10 @@
     }
 
     fn clock(&mut self, now: Duration) {
-        self.look |= now > self.now;
+        if now > self.now {
+            self.look = true;
+            self.let_go.retain(|_, (_, until)| *until > now);
+        }
         self.now = now;
     }
 
@@ -393,9 +417,9 @@
         let late = self.dialogues.iter().filter(|(_, d)| self.now >= self.answer_by(d));
         let late: Vec<_> = late.map(|(id, _)| id.clone()).collect();
         for id in &late {
-            let dialogue = self.dialogues.remove(id).expect("just found");
+            let dialogue = self.let_go(id).expect("just found");
             if dialogue.at.is_some() && !dialogue.called_off && self.figures.may_cancel {
-                out.cancel(id, LaunchNo(dialogue.launches - 1));
+                out.cancel(id, dialogue.last_launch());
             }
             out.fail(id);
         }
@@ -413,7 +437,7 @@
         });
         let hopeless: Vec<_> = hopeless.map(|(id, _)| id.clone()).collect();
         for id in &hopeless {
-            self.dialogues.remove(id);
+            self.let_go(id);
             out.refuse(id, self.figures.come_back);
         }
         !hopeless.is_empty()
@@ -433,7 +457,8 @@
         false
     }
 
-    /// What is out at a server set aside is called off, to be launched elsewhere while there is hope.
+    /// What is out at a server set aside is called off after a second patience, to be launched elsewhere
+    /// while there is hope: a slow server has answered by then, and what is called off may be work all the same.
     fn call_off_at_the_silent(&mut self, out: &mut dyn Signalling) -> bool {
         if !self.figures.may_cancel {
             return false;
@@ -448,7 +473,7 @@
                 && self.now + self.figures.release < dialogue.promised
             {
                 dialogue.called_off = true;
-                out.cancel(id, LaunchNo(dialogue.launches - 1));
+                out.cancel(id, dialogue.last_launch());
                 return true;
             }
         }
@@ -489,11 +514,21 @@
             *rest = (*rest * 2).min(LONGEST_REST);
             *trial_at = self.now + *rest;
         }
-        server.out.push(Out { dialogue: id.clone(), at: self.now });
+        server.out.push(Out { dialogue: id.clone(), launch: dialogue.last_launch(), at: self.now });
         out.launch(&id, &server_id, time_out);
         true
     }
 
+    /// Takes a dialogue out that does not stand, and remembers its caller while it may dial again.
+    fn let_go(&mut self, id: &DialogueId) -> Option<Dialogue> {
+        let dialogue = self.dialogues.remove(id)?;
+        let until = dialogue.first_dialled + self.figures.products[dialogue.product].patience;
+        if let Some(key) = dialogue.key.clone() {
+            self.let_go.insert(key, (dialogue.first_dialled, until));
+        }
+        Some(dialogue)
+    }
+
     // The design
 
     /// The first choice while it qualifies, else the qualifying server with most estimated free lines.
@@ -550,10 +585,12 @@
     }
 
     /// A server has answered a launch of this dialogue: a sign of life that ends any silence.
-    fn answered(&mut self, id: &DialogueId, server: &ServerId, out: &mut dyn Signalling) -> Option<Duration> {
+    fn answered(
+        &mut self, id: &DialogueId, launch: LaunchNo, server: &ServerId, out: &mut dyn Signalling,
+    ) -> Option<Duration> {
         let name = server;
         let server = self.servers.get_mut(server)?;
-        let at = server.take_out(id);
+        let at = server.take_out(id, launch);
         server.last_sign = self.now;
         server.misses = 0;
         if let Mode::Aside { .. } = server.mode
@@ -571,6 +608,12 @@
     }
 }
 
+impl Dialogue {
+    fn last_launch(&self) -> LaunchNo {
+        LaunchNo(self.launches.saturating_sub(1))
+    }
+}
+
 impl Server {
     fn new(entry: &ListEntry, now: Duration) -> Self {
         Self {
@@ -608,8 +651,8 @@
         }
     }
 
-    fn take_out(&mut self, id: &DialogueId) -> Option<Duration> {
-        let place = self.out.iter().position(|o| o.dialogue == *id)?;
+    fn take_out(&mut self, id: &DialogueId, launch: LaunchNo) -> Option<Duration> {
+        let place = self.out.iter().position(|o| o.dialogue == *id && o.launch == launch)?;
         Some(self.out.remove(place).at)
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -10,6 +10,10 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ServerId(pub Arc<str>);
 
+/// Stands for what was dialled; a further try of a caller bears the same.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct DialledKey(pub Arc<str>);
+
 /// The number under which dialogues name a core server as their first choice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ServerNumber(pub i64);
@@ -45,6 +49,8 @@
     /// A set-up that waits this long is sent again by itself; zero: never.
     pub resend: Duration,
     pub max_launches: u32,
+    /// Callers mark their further tries.
+    pub marks_again: bool,
     pub may_cancel: bool,
     pub may_probe: bool,
     pub may_tell_peers: bool,
@@ -62,6 +68,8 @@
 
 pub struct Product {
     pub promised: Duration,
+    /// How long a caller keeps trying, from the first try.
+    pub patience: Duration,
     pub gain: f64,
     /// The part of the gain left when a dialogue stands after the promised time.
     pub late_share: f64,
@@ -77,6 +85,7 @@
 /// A dialogue as it comes in.
 pub struct Arrival {
     pub id: DialogueId,
+    pub key: Option<DialledKey>,
     pub product: ProductId,
     pub tenant: Option<TenantId>,
     pub first_choice: ServerNumber,
--- /dev/null
+++ b/tests/decisions.rs
@@ -0,0 +1,307 @@
+//! Short nights of one edge proxy: what comes in, and the trace of what it decides. Times in milliseconds.
+
+use std::fmt::Write;
+use std::sync::Arc;
+use std::time::Duration;
+
+use insta::assert_snapshot;
+use lotussaddle::brain::Brain;
+use lotussaddle::interface::*;
+
+#[derive(Default)]
+struct Trace {
+    text: String,
+    now: u64,
+    alarm: Option<u64>,
+}
+
+impl Trace {
+    fn put(&mut self, line: std::fmt::Arguments) {
+        let _ = writeln!(self.text, "{:>6} {line}", self.now);
+    }
+}
+
+impl Signalling for Trace {
+    fn launch(&mut self, dialogue: &DialogueId, server: &ServerId, time_out: Duration) {
+        self.put(format_args!("launch {} at {} for {}", dialogue.0, server.0, time_out.as_millis()));
+    }
+    fn refuse(&mut self, dialogue: &DialogueId, come_back: Option<Duration>) {
+        self.put(format_args!("refuse {}, come back in {:?}", dialogue.0, come_back.unwrap_or_default()));
+    }
+    fn fail(&mut self, dialogue: &DialogueId) {
+        self.put(format_args!("fail {}", dialogue.0));
+    }
+    fn cancel(&mut self, dialogue: &DialogueId, launch: LaunchNo) {
+        self.put(format_args!("cancel {} launch {}", dialogue.0, launch.0));
+    }
+    fn probe(&mut self, server: &ServerId) {
+        self.put(format_args!("probe {}", server.0));
+    }
+    fn tell(&mut self, _peer: Option<PeerId>, message: &[u8]) {
+        self.put(format_args!("tell {message:?}"));
+    }
+    fn set_timer(&mut self, _timer: TimerId, after: Duration) {
+        self.alarm = Some(self.now + after.as_millis() as u64);
+    }
+    fn log(&mut self, line: &str) {
+        self.put(format_args!("log: {line}"));
+    }
+}
+
+struct Night {
+    brain: Brain,
+    trace: Trace,
+}
+
+fn ms(time: u64) -> Duration {
+    Duration::from_millis(time)
+}
+
+fn server(name: &str) -> ServerId {
+    ServerId(Arc::from(name))
+}
+
+fn dialogue(name: &str) -> DialogueId {
+    DialogueId(Arc::from(name))
+}
+
+/// Two products: plain (gain 1) and dear (gain 6). Servers a, b, ... have the numbers 0, 1, ...
+fn night(servers: &str) -> Night {
+    let product = |promised, gain| Product {
+        promised: ms(promised),
+        patience: ms(9000),
+        gain,
+        late_share: 0.25,
+        servers: None,
+    };
+    let plan = RoutePlan {
+        products: vec![product(1500, 1.0), product(900, 6.0)],
+        tenants: Vec::new(),
+        over_quota_share: 1.0,
+        proxies: 4,
+        tick: ms(5),
+        release: ms(300),
+        resend: ms(0),
+        max_launches: 4,
+        marks_again: true,
+        may_cancel: true,
+        may_probe: false,
+        may_tell_peers: false,
+        longest_return: ms(2000),
+        cold_share: 0.4,
+        warm_after: ms(10_000),
+        fall_multiple: 2.5,
+        fall_span: ms(1000),
+    };
+    let mut night = Night { brain: Brain::new(plan, 7), trace: Trace::default() };
+    for name in servers.chars() {
+        night.list(&name.to_string(), Listed::Active, 0);
+    }
+    night
+}
+
+impl Night {
+    /// Lets the time pass and the alarms ring.
+    fn at(&mut self, time: u64) -> &mut Self {
+        while let Some(alarm) = self.trace.alarm.filter(|alarm| *alarm <= time) {
+            self.trace.now = alarm;
+            self.trace.alarm = None;
+            self.brain.alarm(ms(alarm), TimerId(0), &mut self.trace);
+        }
+        self.trace.now = time;
+        self
+    }
+
+    fn list(&mut self, name: &str, listed: Listed, since: u64) -> &mut Self {
+        let number = ServerNumber(i64::from(name.as_bytes()[0] - b'a'));
+        let entry = ListEntry { server: server(name), number, listed, since: ms(since) };
+        self.brain.listed(ms(self.trace.now), false, &[entry], &mut self.trace);
+        self
+    }
+
+    fn free(&mut self, name: &str, lines: f64) -> &mut Self {
+        let report = LoadReport { free_lines: Some(lines), ..LoadReport::default() };
+        self.brain.reported(ms(self.trace.now), &server(name), &report, false, &mut self.trace);
+        self
+    }
+
+    fn dial_as(&mut self, name: &str, product: usize, choice: i64, again: bool) -> &mut Self {
+        let arrival = Arrival {
+            id: dialogue(name),
+            key: Some(DialledKey(Arc::from(&name[..2]))),
+            product: ProductId(product),
+            tenant: None,
+            first_choice: ServerNumber(choice),
+            width: 1.0,
+            cut_off: ms(self.trace.now + 3000),
+            again,
+            came_back: false,
+        };
+        self.brain.arrived(ms(self.trace.now), arrival, &mut self.trace);
+        self
+    }
+
+    fn dial(&mut self, name: &str, choice: i64) -> &mut Self {
+        self.dial_as(name, 0, choice, false)
+    }
+
+    fn stands(&mut self, name: &str, at: &str) -> &mut Self {
+        self.stands_by(name, 0, at)
+    }
+
+    fn stands_by(&mut self, name: &str, launch: u32, at: &str) -> &mut Self {
+        let now = ms(self.trace.now);
+        self.brain.stands(now, &dialogue(name), LaunchNo(launch), &server(at), &mut self.trace);
+        self
+    }
+
+    fn ends(&mut self, name: &str, launch: u32, at: &str, outcome: Outcome) -> &mut Self {
+        let end = LaunchEnd {
+            dialogue: dialogue(name),
+            launch: LaunchNo(launch),
+            server: server(at),
+            outcome,
+            closed: false,
+            report: LoadReport::default(),
+        };
+        self.brain.ended(ms(self.trace.now), end, &mut self.trace);
+        self
+    }
+
+    /// Dialogues that stand after the given wait, one each half second.
+    fn calm(&mut self, at: &str, choice: i64, wait: u64, count: u64) -> &mut Self {
+        let begin = self.trace.now;
+        for n in 0..count {
+            let name = format!("{at}{choice}-{begin}-{n}");
+            self.at(begin + n * 500).dial(&name, choice).at(begin + n * 500 + wait).stands(&name, at);
+        }
+        self
+    }
+
+    fn told(&mut self) -> String {
+        std::mem::take(&mut self.trace.text)
+    }
+}
+
+/// The design: first choice while the estimate covers it, else the most estimated free lines.
+#[test]
+fn first_choice_then_most_free_lines() {
+    let mut night = night("abc");
+    night.free("a", 1.0).free("b", 2.0).free("c", 5.0);
+    night.dial("d1", 0).dial("d2", 0).dial("d3", 1).free("a", 1.0).dial("d4", 0);
+    assert_snapshot!(night.told());
+}
+
+/// Turned back: zero free until its next report, and the dialogue picks again once.
+#[test]
+fn turned_back_picks_again_once() {
+    let mut night = night("ab");
+    night.dial("d1", 0).at(30).ends("d1", 0, "a", Outcome::TurnedBack);
+    night.dial("d2", 0).at(60).ends("d1", 1, "b", Outcome::TurnedBack).free("a", 3.0).dial("d3", 0);
+    assert_snapshot!(night.told());
+}
+
+/// More than the limit wait here; what is freed goes to the highest gain, then to the newest.
+#[test]
+fn the_waiting_room_serves_gain_then_the_newest() {
+    let mut night = night("a");
+    night
+        .dial("d1", 0)
+        .dial("d2", 0)
+        .at(5)
+        .dial("d3", 0)
+        .at(10)
+        .dial("d4", 0)
+        .at(15)
+        .dial_as("d5", 1, 0, false);
+    night.at(100).stands("d1", "a").at(150).stands("d5", "a").at(2000);
+    assert_snapshot!(night.told());
+}
+
+/// A hung server: set aside, its launches called off and, after the release, sent elsewhere; a trial ends it.
+#[test]
+fn a_silent_server_is_set_aside_until_a_trial() {
+    let mut night = night("ab");
+    night.calm("a", 0, 50, 4).told();
+    night.at(3000).dial("d1", 0).at(3460).dial("d2", 0).at(3905).ends("d1", 0, "a", Outcome::CalledOff);
+    night.at(3910).stands("d2", "b").at(4300).dial("d3", 0).at(4400).stands("d3", "a").dial("d4", 0);
+    assert_snapshot!(night.told());
+}
+
+/// A slow server is no hung one: after its late answer the patience with it has doubled.
+#[test]
+fn slow_is_not_silent() {
+    let mut night = night("a");
+    night.dial("d1", 0).at(600).stands("d1", "a").at(700).dial("d2", 0).at(1500).stands("d2", "a").at(1600);
+    assert_snapshot!(night.told());
+}
+
+/// A broken set-up waits for the release and shuns that server, which stays in use for others.
+#[test]
+fn a_broken_set_up_shuns_the_server() {
+    let mut night = night("ab");
+    night.dial("d1", 0).at(20).ends("d1", 0, "a", Outcome::BrokenOff).dial("d2", 0).at(400);
+    assert_snapshot!(night.told());
+}
+
+/// Out of reach twice running is down: set aside, and cold when it answers again before the list tells.
+#[test]
+fn out_of_reach_is_down_and_comes_back_cold() {
+    let mut night = night("ab");
+    night.calm("a", 0, 50, 20).told();
+    night.at(12_000).dial("d1", 0).ends("d1", 0, "a", Outcome::Unreachable);
+    night
+        .dial("d2", 0)
+        .ends("d2", 0, "a", Outcome::Unreachable)
+        .at(12_050)
+        .stands("d1", "b")
+        .stands("d2", "b");
+    night.at(12_600).dial("d3", 0).at(12_650).stands("d3", "a");
+    night.dial("d4", 0).dial("d5", 0).at(12_700).stands("d5", "b").at(13_400);
+    assert_snapshot!(night.told());
+}
+
+/// A replacement under a known number: launches are spaced by what its forerunner bore.
+#[test]
+fn a_cold_server_gets_spaced_launches() {
+    let mut night = night("a");
+    night.calm("a", 0, 50, 20).told();
+    night.at(20_000).list("a", Listed::Active, 19_900).dial("d1", 0).dial("d2", 0).dial("d3", 0).at(22_000);
+    assert_snapshot!(night.told());
+}
+
+/// Nothing new to a server that drains or is gone, from the very message on.
+#[test]
+fn a_drain_is_kept_at_once() {
+    let mut night = night("ab");
+    night.free("a", 50.0).free("b", 9.0).list("a", Listed::Leaving, 0).dial("d1", 0);
+    night.list("b", Listed::Gone, 0).dial("d2", 1).at(2000);
+    assert_snapshot!(night.told());
+}
+
+/// Whatever hangs, the answer is given before the cut-off; what comes later changes nothing.
+#[test]
+fn the_cut_off_is_kept_and_late_answers_change_nothing() {
+    let mut night = night("a");
+    night.calm("a", 0, 300, 3).told();
+    night.at(2000).dial("d1", 0).at(2400).dial("d2", 0).at(2900).stands("d2", "a").at(6000);
+    night.ends("d1", 0, "a", Outcome::TimedOut).stands("d1", "a").ends("d9", 3, "z", Outcome::BrokenOff);
+    assert_snapshot!(night.told());
+}
+
+/// A further try is measured from its caller's first dial, so a fresh dialogue goes before a late one.
+#[test]
+fn a_further_try_is_late_from_its_first_dial() {
+    let mut night = night("a");
+    night.dial("d1", 0).dial("d2", 0).dial("d3", 0).at(390).stands("d1", "a").at(391);
+    night.brain.left(ms(391), &dialogue("d3"), &mut night.trace);
+    night
+        .at(1600)
+        .dial_as("d3-2", 0, 0, true)
+        .dial("d4", 0)
+        .stands("d2", "a")
+        .at(1700)
+        .stands("d4", "a")
+        .at(2000);
+    assert_snapshot!(night.told());
+}
