--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -223,8 +223,9 @@
 fn a_silent_server_is_set_aside_until_a_trial() {
     let mut night = night("ab");
     night.calm("a", 0, 50, 4).told();
-    night.at(3000).dial("d1", 0).at(3460).dial("d2", 0).at(3905).ends("d1", 0, "a", Outcome::CalledOff);
-    night.at(3910).stands("d2", "b").at(4300).dial("d3", 0).at(4400).stands("d3", "a").dial("d4", 0);
+    night.at(3000).dial("d1", 0).at(3460).dial("d2", 0).at(3500).stands("d2", "b");
+    night.at(3905).ends("d1", 0, "a", Outcome::CalledOff).at(4210).stands_by("d1", 1, "b");
+    night.at(4300).dial("d3", 0).at(4400).stands("d3", "a").dial("d4", 0);
     assert_snapshot!(night.told());
 }
 
@@ -257,7 +258,7 @@
         .stands("d1", "b")
         .stands("d2", "b");
     night.at(12_600).dial("d3", 0).at(12_650).stands("d3", "a");
-    night.dial("d4", 0).dial("d5", 0).at(12_700).stands("d5", "b").at(13_400);
+    night.dial("d4", 0).dial("d5", 0).at(12_700).stands("d5", "b").at(13_950);
     assert_snapshot!(night.told());
 }
 
@@ -266,7 +267,8 @@
 fn a_cold_server_gets_spaced_launches() {
     let mut night = night("a");
     night.calm("a", 0, 50, 20).told();
-    night.at(20_000).list("a", Listed::Active, 19_900).dial("d1", 0).dial("d2", 0).dial("d3", 0).at(22_000);
+    night.at(20_000).list("a", Listed::Active, 19_900).dial("d1", 0).dial("d2", 0).dial("d3", 0);
+    night.at(20_050).stands("d1", "a").at(20_900).stands("d2", "a").stands("d3", "a").at(22_000);
     assert_snapshot!(night.told());
 }
 
