--- a/src/brain.rs
+++ b/src/brain.rs
@@ -30,6 +30,8 @@
 const MISSES: u32 = 2;
 /// A slow server's patience grows to at most this many times the usual.
 const LONGEST_DOUBT: u32 = 4;
+/// A cold server may always be sent so many launches a second.
+const LOWEST_RATE: f64 = 0.1;
 /// Weight of the newest answer in a smoothed figure.
 const NEWEST: f64 = 0.2;
 /// Answers a second are smoothed over this time, in seconds, and the most borne fades over the other.
@@ -38,12 +40,12 @@
 
 /// The figures that decisions use, made from the route plan at start.
 struct Figures {
-    products: Vec<Worth>,
+    products: Vec<Product>,
     tick: Duration,
     release: Duration,
-    /// A wait above this cuts a limit.
+    /// A wait above this is strain and cuts a limit.
     ease: Duration,
-    /// No sign of life for this long while a launch is out is silence, whatever the usual wait.
+    /// Launches out and no sign of life for this long is silence, however short the usual wait.
     silence: Duration,
     max_launches: u32,
     marks_again: bool,
@@ -51,53 +53,39 @@
     come_back: Option<Duration>,
     cold_share: f64,
     warm_after: Duration,
-    /// Seconds' worth of a server's present capacity that may be sent at once while it is cold.
+    /// The multiple of its present capacity that a cold server may be sent.
     cold_multiple: f64,
 }
 
-struct Worth {
-    promised: Duration,
-    patience: Duration,
-    gain: f64,
-    late_gain: f64,
-    servers: Option<Vec<ServerNumber>>,
-}
-
-enum Mode {
-    Serving,
-    /// Silent or out of reach; a trial dialogue may go at the given time.
-    Aside {
-        trial_at: Duration,
-        rest: Duration,
-    },
-}
-
 /// All that is known of a core server.
 struct Server {
     number: ServerNumber,
     listed: Listed,
-    mode: Mode,
     /// When it last started, as far as is known; none: long ago.
     started: Option<Duration>,
+    /// Drawn once: decides between servers that look alike.
+    lot: u32,
     told_free: Option<f64>,
     placed_since: f64,
     /// Launches out, oldest first.
     out: Vec<Out>,
     limit: f64,
     cut_at: Duration,
+    last_launch: Duration,
     last_sign: Duration,
-    /// Launches in a row that did not reach it, and whether such a run put it aside.
+    /// Set aside: when its next trial may go, and how long after that the one after.
+    trial_at: Option<Duration>,
+    rest: Duration,
+    /// Launches in a row that did not reach it.
     misses: u32,
-    was_down: bool,
-    /// Times its patience: doubles with each silence that proves to be mere slowness.
+    /// Times its patience: doubles with each silence until it answers in ease.
     doubt: u32,
-    last_launch: Duration,
-    /// Smoothed time to an answer, its spread, and answers a second, all in seconds.
-    usual: f64,
-    spread: f64,
+    /// Smoothed time to an answer, and its spread.
+    usual: Duration,
+    spread: Duration,
+    /// Smoothed answers a second when last counted, and the most borne, its forerunner's included.
     rate: f64,
-    rate_at: Duration,
-    /// The most answers a second it has borne from here, its predecessor's of the same number included.
+    counted_at: Duration,
     borne: f64,
 }
 
@@ -107,14 +95,15 @@
     at: Duration,
 }
 
+/// A dialogue that is owed an answer.
 struct Dialogue {
-    product: usize,
+    product: ProductId,
     key: Option<DialledKey>,
     first_dialled: Duration,
     first_choice: ServerNumber,
     width: f64,
     promised: Duration,
-    cut_off: Duration,
+    answer_by: Duration,
     gain: f64,
     turned_back: u32,
     launches: u32,
@@ -128,25 +117,24 @@
 
 pub struct Brain {
     figures: Figures,
+    pcg: Pcg,
+    now: Duration,
     servers: BTreeMap<ServerId, Server>,
     dialogues: BTreeMap<DialogueId, Dialogue>,
     /// Callers let go who may dial again: when they first dialled, and until when they may.
     let_go: BTreeMap<DialledKey, (Duration, Duration)>,
-    now: Duration,
     /// Something beyond arrivals has changed since the rules were last gone through.
     look: bool,
     /// The next moment at which a rule may fire by time alone, and the alarm set for it.
     due: Option<Duration>,
     alarm_at: Option<Duration>,
-    #[allow(dead_code)]
-    pcg: Pcg,
 }
 
 type Rule = fn(&mut Brain, &mut dyn Signalling) -> bool;
 
 /// Each rule is a condition and an effect and tells whether it fired.
 const RULES: [Rule; 6] = [
-    Brain::answer_at_the_cut_off,
+    Brain::answer_before_the_cut_off,
     Brain::refuse_the_hopeless,
     Brain::set_the_silent_aside,
     Brain::call_off_at_the_silent,
@@ -157,22 +145,12 @@
 impl Brain {
     pub fn new(plan: RoutePlan, seed: u64) -> Self {
         let tightest = plan.products.iter().map(|p| p.promised).min().unwrap_or(Duration::MAX);
-        let mut ease = tightest / 3;
-        if !plan.resend.is_zero() {
-            ease = ease.min(plan.resend * 4 / 5);
-        }
-        let products = plan.products.into_iter().map(|p| Worth {
-            promised: p.promised,
-            patience: p.patience,
-            gain: p.gain,
-            late_gain: p.gain * p.late_share,
-            servers: p.servers,
-        });
+        let resend = if plan.resend.is_zero() { Duration::MAX } else { plan.resend };
         let figures = Figures {
-            products: products.collect(),
+            products: plan.products,
             tick: plan.tick,
             release: plan.release,
-            ease,
+            ease: (tightest / 3).min(resend / 5 * 4),
             silence: tightest / 2,
             max_launches: plan.max_launches,
             marks_again: plan.marks_again,
@@ -184,14 +162,14 @@
         };
         Self {
             figures,
+            pcg: Pcg::new(seed),
+            now: Duration::ZERO,
             servers: BTreeMap::new(),
             dialogues: BTreeMap::new(),
             let_go: BTreeMap::new(),
-            now: Duration::ZERO,
             look: true,
             due: None,
             alarm_at: None,
-            pcg: Pcg::new(seed),
         }
     }
 
@@ -199,53 +177,55 @@
 
     /// The list of core servers, whole or only what changed.
     pub fn listed(&mut self, now: Duration, whole: bool, entries: &[ListEntry], out: &mut dyn Signalling) {
-        self.clock(now);
-        self.look = true;
+        self.turn_to(now);
         if whole {
-            for server in self.servers.values_mut() {
-                server.listed = Listed::Gone;
-            }
+            self.servers.values_mut().for_each(|s| s.listed = Listed::Gone);
         }
         for entry in entries {
-            let started = Some(entry.since).filter(|s| !s.is_zero());
+            let known = self.servers.get_mut(&entry.server);
+            if let Some(server) = known
+                && Some(entry.since).filter(|s| !s.is_zero()) <= server.started
+            {
+                (server.number, server.listed) = (entry.number, entry.listed);
+                continue;
+            }
+            // New, or a new start under the old id: nothing learned holds but what such a server bears.
             let same = self.servers.values().filter(|s| s.number == entry.number);
             let borne = same.map(|s| s.borne).fold(0.0, f64::max);
-            let fresh = || Server { borne, ..Server::new(entry, now) };
-            let server = self.servers.entry(entry.server.clone()).or_insert_with(fresh);
-            server.number = entry.number;
-            server.listed = entry.listed;
-            if started > server.started {
-                // A new start under the old id: nothing learned before holds.
-                let out = std::mem::take(&mut server.out);
-                *server = Server { out, ..fresh() };
+            let mut server = Server::new(entry, now, borne, self.pcg.draw());
+            if let Some(before) = self.servers.remove(&entry.server) {
+                server.out = before.out;
             }
+            self.servers.insert(entry.server.clone(), server);
         }
         // One that is gone is kept until another takes its number: what it bore tells of the next.
-        let active: Vec<ServerNumber> =
-            self.servers.values().filter(|s| s.listed == Listed::Active).map(|s| s.number).collect();
+        let active = self.servers.values().filter(|s| s.listed == Listed::Active);
+        let active: Vec<ServerNumber> = active.map(|s| s.number).collect();
         let spent = |s: &Server| s.listed == Listed::Gone && s.out.is_empty() && active.contains(&s.number);
         self.servers.retain(|_, s| !spent(s));
         self.settle(out);
     }
 
     pub fn arrived(&mut self, now: Duration, arrival: Arrival, out: &mut dyn Signalling) {
-        self.clock(now);
-        let worth = &self.figures.products[arrival.product.0];
+        if now > self.now {
+            self.turn_to(now);
+        }
         // A further try is measured from the first one: past the promised time little of its gain is left.
+        let product = &self.figures.products[arrival.product.0];
         let may_be_again = arrival.again || !self.figures.marks_again;
         let before = arrival.key.as_ref().filter(|_| may_be_again).and_then(|key| self.let_go.remove(key));
         let first_dialled = before.map_or(now, |(first, _)| first);
-        let late = now >= first_dialled + worth.promised
-            || (arrival.again && !arrival.came_back && before.is_none());
+        let unknown = arrival.again && !arrival.came_back && before.is_none();
+        let late = unknown || now >= first_dialled + product.promised;
         let dialogue = Dialogue {
-            product: arrival.product.0,
+            product: arrival.product,
             key: arrival.key,
             first_dialled,
             first_choice: arrival.first_choice,
             width: arrival.width,
-            promised: worth.promised + if late { now } else { first_dialled },
-            cut_off: arrival.cut_off,
-            gain: if late { worth.late_gain } else { worth.gain },
+            promised: product.promised + if late { now } else { first_dialled },
+            answer_by: arrival.cut_off.saturating_sub(self.figures.tick * 2),
+            gain: product.gain * if late { product.late_share } else { 1.0 },
             turned_back: 0,
             launches: 0,
             at: None,
@@ -260,14 +240,8 @@
 
     /// The caller has left.
     pub fn left(&mut self, now: Duration, id: &DialogueId, out: &mut dyn Signalling) {
-        self.clock(now);
-        if let Some(dialogue) = self.let_go(id)
-            && dialogue.at.is_some()
-            && !dialogue.called_off
-            && self.figures.may_cancel
-        {
-            out.cancel(id, dialogue.last_launch());
-        }
+        self.turn_to(now);
+        self.let_go(id, out);
         self.settle(out);
     }
 
@@ -275,12 +249,12 @@
     pub fn reported(
         &mut self, now: Duration, id: &ServerId, report: &LoadReport, asked: bool, out: &mut dyn Signalling,
     ) {
-        self.clock(now);
+        self.turn_to(now);
         if let Some(server) = self.servers.get_mut(id) {
+            server.read(report);
             if asked {
                 server.last_sign = now;
             }
-            server.read(report);
         }
         self.settle(out);
     }
@@ -290,41 +264,40 @@
         &mut self, now: Duration, id: &DialogueId, launch: LaunchNo, server: &ServerId,
         out: &mut dyn Signalling,
     ) {
-        self.clock(now);
-        self.look = true;
+        self.turn_to(now);
         self.dialogues.remove(id);
-        if let Some(at) = self.answered(id, launch, server, out) {
-            let figures = &self.figures;
-            let server = self.servers.get_mut(server).expect("it has answered");
-            server.learn(now, now - at, figures);
+        if let Some(server) = self.servers.get_mut(server)
+            && let Some(at) = server.answered(now, id, launch, out)
+        {
+            server.learn(now, now - at, self.figures.ease);
         }
         self.settle(out);
     }
 
     /// A launch has ended without standing, or a standing dialogue has ended.
     pub fn ended(&mut self, now: Duration, end: LaunchEnd, out: &mut dyn Signalling) {
-        self.clock(now);
-        self.look = true;
-        match end.outcome {
-            Outcome::Ended | Outcome::Fault | Outcome::TurnedBack => {
-                self.answered(&end.dialogue, end.launch, &end.server, out);
-            }
-            _ => {
-                self.servers.get_mut(&end.server).and_then(|s| s.take_out(&end.dialogue, end.launch));
-            }
-        }
-        let rest = self.figures.silence;
+        self.turn_to(now);
         if let Some(server) = self.servers.get_mut(&end.server) {
             server.read(&end.report);
+            if matches!(end.outcome, Outcome::Ended | Outcome::Fault | Outcome::TurnedBack) {
+                server.answered(now, &end.dialogue, end.launch, out);
+            } else {
+                server.take_out(&end.dialogue, end.launch);
+            }
             match end.outcome {
-                Outcome::TurnedBack => {
-                    server.told_free = Some(0.0);
-                    server.cut(now);
-                }
-                Outcome::NotSent => server.told_free = Some(0.0),
-                Outcome::Unreachable => server.missed(now, rest, &end.server, out),
+                // The design: full is zero free until its next report.
+                Outcome::TurnedBack | Outcome::NotSent => server.told_free = Some(0.0),
+                // One miss may be chance, a run of them is a server down. A set-up broken off is no miss:
+                // a server can do that to some and serve the rest well.
+                Outcome::Unreachable => server.misses += 1,
                 _ => {}
             }
+            if end.outcome == Outcome::TurnedBack {
+                server.cut(now);
+            }
+            if server.misses >= MISSES {
+                server.set_aside(now, self.figures.silence, "out of reach", &end.server, out);
+            }
         }
         if end.closed {
             self.dialogues.remove(&end.dialogue);
@@ -348,24 +321,22 @@
     }
 
     pub fn alarm(&mut self, now: Duration, _timer: TimerId, out: &mut dyn Signalling) {
-        self.clock(now);
-        self.look = true;
-        self.alarm_at = None;
+        self.turn_to(now);
+        // The alarm that is due may ring a moment early; one that was overtaken rings for nothing.
+        self.alarm_at = self.alarm_at.filter(|at| *at > now + self.figures.tick);
         self.settle(out);
     }
 
-    /// A message of another edge proxy.
+    /// A message of another edge proxy; nothing is decided by one yet.
     pub fn heard(&mut self, now: Duration, _peer: PeerId, _message: &[u8], out: &mut dyn Signalling) {
-        self.clock(now);
+        self.turn_to(now);
         self.settle(out);
     }
 
-    fn clock(&mut self, now: Duration) {
-        if now > self.now {
-            self.look = true;
-            self.let_go.retain(|_, (_, until)| *until > now);
-        }
+    fn turn_to(&mut self, now: Duration) {
+        self.look = true;
         self.now = now;
+        self.let_go.retain(|_, (_, until)| *until > now);
     }
 
     /// Goes through the rules until none fires, then sees to it that the next due moment is not missed.
@@ -386,25 +357,21 @@
     }
 
     fn next_due(&self) -> Option<Duration> {
-        let f = &self.figures;
-        let mut due: Vec<Duration> = self.dialogues.values().map(|d| self.next_due_of(d)).collect();
+        let warm = self.borne_by_the_warm();
         let waiting = self.dialogues.values().any(|d| d.at.is_none());
-        let warm_rate = self.warm_rate();
-        for server in self.servers.values() {
-            if let Some(oldest) = server.out.first() {
-                due.push(server.last_sign.max(oldest.at) + server.patience(f));
-                due.push(oldest.at + f.ease);
-            }
-            if waiting {
-                due.push(server.next_launch(f, warm_rate));
-            }
-        }
-        due.into_iter().filter(|d| *d > self.now).min()
+        let servers = self.servers.values().flat_map(|s| {
+            let oldest = s.out.first();
+            let silent = oldest.map(|o| s.last_sign.max(o.at) + s.patience(&self.figures));
+            let strained = oldest.map(|o| o.at + self.figures.ease);
+            [silent, strained, waiting.then(|| s.next_launch(&self.figures, warm))]
+        });
+        let dialogues = self.dialogues.values().map(|d| self.next_due_of(d));
+        servers.flatten().chain(dialogues).filter(|due| *due > self.now).min()
     }
 
     fn next_due_of(&self, dialogue: &Dialogue) -> Duration {
         match dialogue.at {
-            Some(_) => self.answer_by(dialogue),
+            Some(_) => dialogue.answer_by,
             None if dialogue.not_before > self.now => dialogue.not_before,
             None => self.launch_by(dialogue).max(self.now + self.figures.tick),
         }
@@ -412,32 +379,27 @@
 
     // Rules
 
-    /// Rule 1: whatever else goes wrong, a dialogue is answered before the cut-off of its try.
-    fn answer_at_the_cut_off(&mut self, out: &mut dyn Signalling) -> bool {
-        let late = self.dialogues.iter().filter(|(_, d)| self.now >= self.answer_by(d));
-        let late: Vec<_> = late.map(|(id, _)| id.clone()).collect();
-        for id in &late {
-            let dialogue = self.let_go(id).expect("just found");
-            if dialogue.at.is_some() && !dialogue.called_off && self.figures.may_cancel {
-                out.cancel(id, dialogue.last_launch());
-            }
+    /// Whatever else goes wrong, a dialogue is answered before the cut-off of its try.
+    fn answer_before_the_cut_off(&mut self, out: &mut dyn Signalling) -> bool {
+        let overdue = self.pick(|d| self.now >= d.answer_by);
+        for id in &overdue {
+            self.let_go(id, out);
             out.fail(id);
         }
-        !late.is_empty()
+        !overdue.is_empty()
     }
 
     /// A dialogue that can no longer stand within the promised time is refused at once: what it would
     /// take is better spent on one that can.
     fn refuse_the_hopeless(&mut self, out: &mut dyn Signalling) -> bool {
-        let hopeless = self.dialogues.iter().filter(|(_, d)| {
+        let hopeless = self.pick(|d| {
             d.at.is_none()
                 && (self.now.max(d.not_before) >= self.launch_by(d)
                     || d.turned_back > 1
                     || d.launches >= self.figures.max_launches)
         });
-        let hopeless: Vec<_> = hopeless.map(|(id, _)| id.clone()).collect();
         for id in &hopeless {
-            self.let_go(id);
+            self.let_go(id, out);
             out.refuse(id, self.figures.come_back);
         }
         !hopeless.is_empty()
@@ -445,166 +407,117 @@
 
     /// Launches out and no sign of life: hung, cut off, or dead before the list tells.
     fn set_the_silent_aside(&mut self, out: &mut dyn Signalling) -> bool {
-        let (now, f) = (self.now, &self.figures);
-        for (id, server) in &mut self.servers {
-            let Some(oldest) = server.out.first() else { continue };
-            let silent = now >= server.last_sign.max(oldest.at) + server.patience(f);
-            if silent && matches!(server.mode, Mode::Serving) {
-                server.set_aside(now, f.silence, "silent", id, out);
-                return true;
-            }
-        }
-        false
+        let silent = self.servers.iter_mut().find(|(_, s)| {
+            let since = s.out.first().map(|oldest| s.last_sign.max(oldest.at));
+            s.trial_at.is_none() && since.is_some_and(|t| self.now >= t + s.patience(&self.figures))
+        });
+        let Some((id, server)) = silent else { return false };
+        server.set_aside(self.now, self.figures.silence, "silent", id, out);
+        true
     }
 
-    /// What is out at a server set aside is called off after a second patience, to be launched elsewhere
-    /// while there is hope: a slow server has answered by then, and what is called off may be work all the same.
+    /// What is out at a server set aside is called off after a second patience, to go elsewhere while there
+    /// is hope: a merely slow server has answered by then, and what is called off may be work all the same.
     fn call_off_at_the_silent(&mut self, out: &mut dyn Signalling) -> bool {
-        if !self.figures.may_cancel {
-            return false;
-        }
-        for (id, dialogue) in &mut self.dialogues {
-            let Some(server) = dialogue.at.as_ref().and_then(|at| self.servers.get(at)) else { continue };
-            let Some(launch) = server.out.iter().find(|o| o.dialogue == *id) else { continue };
-            let patience = server.patience(&self.figures);
-            if matches!(server.mode, Mode::Aside { .. })
-                && !dialogue.called_off
-                && self.now >= launch.at + patience
-                && self.now + self.figures.release < dialogue.promised
-            {
-                dialogue.called_off = true;
-                out.cancel(id, dialogue.last_launch());
-                return true;
-            }
-        }
-        false
+        let figures = &self.figures;
+        let lost = self.dialogues.iter_mut().find(|(id, d)| {
+            let server = d.at.as_ref().and_then(|at| self.servers.get(at)).filter(|s| s.trial_at.is_some());
+            let launch = server.and_then(|s| s.out.iter().find(|o| o.dialogue == **id).zip(Some(s)));
+            figures.may_cancel
+                && !d.called_off
+                && self.now + figures.release < d.promised
+                && launch.is_some_and(|(launch, s)| self.now >= launch.at + s.patience(figures))
+        });
+        let Some((id, dialogue)) = lost else { return false };
+        dialogue.called_off = true;
+        out.cancel(id, dialogue.last_launch());
+        true
     }
 
     /// A launch unanswered past the ease cuts the limit without waiting for its answer.
     fn cut_on_a_long_wait(&mut self, _out: &mut dyn Signalling) -> bool {
-        for server in self.servers.values_mut() {
-            let Some(oldest) = server.out.first() else { continue };
-            if oldest.at >= server.cut_at && self.now >= oldest.at + self.figures.ease {
-                server.cut(self.now);
-                return true;
-            }
-        }
-        false
+        let strained = self.servers.values_mut().find(|s| {
+            let oldest = s.out.first().map(|o| o.at).filter(|at| *at >= s.cut_at);
+            oldest.is_some_and(|at| self.now >= at + self.figures.ease)
+        });
+        strained.map(|server| server.cut(self.now)).is_some()
     }
 
-    /// The dialogue of highest gain that waits, and has a server, is launched.
+    /// Of the dialogues that wait and have a server, the one of highest gain is launched, the newest first:
+    /// where room is short the oldest is about to leave or to stand too late.
     fn launch_the_best(&mut self, out: &mut dyn Signalling) -> bool {
-        let warm_rate = self.warm_rate();
-        if !self.servers.values().any(|s| self.qualifies(s, 0.0, warm_rate)) {
+        let warm = self.borne_by_the_warm();
+        if !self.servers.values().any(|s| self.qualifies(s, 0.0, warm)) {
             return false;
         }
-        let mut waiting: Vec<(&DialogueId, &Dialogue)> =
-            self.dialogues.iter().filter(|(_, d)| d.at.is_none() && self.now >= d.not_before).collect();
+        let waiting = self.dialogues.iter().filter(|(_, d)| d.at.is_none() && self.now >= d.not_before);
+        let mut waiting: Vec<_> = waiting.collect();
         waiting.sort_by(|(_, a), (_, b)| b.gain.total_cmp(&a.gain).then(b.promised.cmp(&a.promised)));
-        let chosen = waiting.into_iter().find_map(|(id, d)| Some((id.clone(), self.choose(d)?)));
-        let Some((id, server_id)) = chosen else { return false };
-        let dialogue = self.dialogues.get_mut(&id).expect("just found");
-        let time_out = dialogue.cut_off.saturating_sub(self.now);
+        let best = waiting.into_iter().find_map(|(id, d)| Some((id.clone(), self.choose(d, warm)?)));
+        let Some((id, server_id)) = best else { return false };
+        let dialogue = self.dialogues.get_mut(&id).expect("it waits");
+        let server = self.servers.get_mut(&server_id).expect("it was chosen");
         dialogue.launches += 1;
-        dialogue.at = Some(server_id.clone());
-        let server = self.servers.get_mut(&server_id).expect("just chosen");
-        server.placed_since += dialogue.width;
-        server.last_launch = self.now;
-        if let Mode::Aside { trial_at, rest } = &mut server.mode {
-            *rest = (*rest * 2).min(LONGEST_REST);
-            *trial_at = self.now + *rest;
-        }
-        server.out.push(Out { dialogue: id.clone(), launch: dialogue.last_launch(), at: self.now });
-        out.launch(&id, &server_id, time_out);
+        server.launched(self.now, &id, dialogue);
+        out.launch(&id, &server_id, dialogue.answer_by + self.figures.tick * 2 - self.now);
+        dialogue.at = Some(server_id);
         true
     }
 
-    /// Takes a dialogue out that does not stand, and remembers its caller while it may dial again.
-    fn let_go(&mut self, id: &DialogueId) -> Option<Dialogue> {
-        let dialogue = self.dialogues.remove(id)?;
-        let until = dialogue.first_dialled + self.figures.products[dialogue.product].patience;
-        if let Some(key) = dialogue.key.clone() {
-            self.let_go.insert(key, (dialogue.first_dialled, until));
-        }
-        Some(dialogue)
-    }
-
     // The design
 
     /// The first choice while it qualifies, else the qualifying server with most estimated free lines.
-    fn choose(&self, dialogue: &Dialogue) -> Option<ServerId> {
-        let able = &self.figures.products[dialogue.product].servers;
-        let warm_rate = self.warm_rate();
-        let qualifying = || {
-            let fit = self
-                .servers
-                .iter()
-                .filter(|(_, s)| able.as_ref().is_none_or(|able| able.contains(&s.number)));
-            fit.filter(|(_, s)| self.qualifies(s, dialogue.width, warm_rate))
-        };
-        let shunned = |id: &ServerId| dialogue.shunned.as_ref() == Some(id);
-        let first = qualifying().find(|(id, s)| s.number == dialogue.first_choice && !shunned(id));
-        let most_free = || {
-            qualifying().max_by(|(a_id, a), (b_id, b)| {
-                shunned(b_id).cmp(&shunned(a_id)).then(a.estimate().total_cmp(&b.estimate()))
-            })
+    fn choose(&self, dialogue: &Dialogue, warm: f64) -> Option<ServerId> {
+        let able = self.figures.products[dialogue.product.0].servers.as_ref();
+        let qualifying = self.servers.iter().filter(|(_, s)| {
+            able.is_none_or(|able| able.contains(&s.number)) && self.qualifies(s, dialogue.width, warm)
+        });
+        let rank = |(id, s): &(&ServerId, &Server)| {
+            let shunned = dialogue.shunned.as_ref() == Some(*id);
+            (!shunned, s.number == dialogue.first_choice, s.estimate(), s.lot)
         };
-        first.or_else(most_free).map(|(id, _)| id.clone())
+        let best = qualifying.max_by(|a, b| rank(a).partial_cmp(&rank(b)).expect("estimates are numbers"));
+        best.map(|(id, _)| id.clone())
     }
 
-    fn qualifies(&self, server: &Server, width: f64, warm_rate: f64) -> bool {
-        let f = &self.figures;
+    fn qualifies(&self, server: &Server, width: f64, warm: f64) -> bool {
+        let room = if server.trial_at.is_some() { 1.0 } else { server.limit.max(1.0) };
         server.listed == Listed::Active
             && server.estimate() >= width
-            && self.now >= server.next_launch(f, warm_rate)
-            && match server.mode {
-                Mode::Serving => server.out.is_empty() || (server.out.len() + 1) as f64 <= server.limit,
-                Mode::Aside { .. } => server.out.is_empty(),
-            }
+            && (server.out.len() + 1) as f64 <= room
+            && self.now >= server.next_launch(&self.figures, warm)
     }
 
     // Figures that several rules share
 
-    fn answer_by(&self, dialogue: &Dialogue) -> Duration {
-        dialogue.cut_off.saturating_sub(self.figures.tick * 2)
+    fn pick(&self, which: impl Fn(&Dialogue) -> bool) -> Vec<DialogueId> {
+        self.dialogues.iter().filter(|(_, d)| which(d)).map(|(id, _)| id.clone()).collect()
     }
 
     /// A launch later than this would probably stand after the promised time.
     fn launch_by(&self, dialogue: &Dialogue) -> Duration {
-        let serving = self.servers.values().filter(|s| matches!(s.mode, Mode::Serving));
-        let usual = serving.map(|s| s.usual).fold(f64::INFINITY, f64::min);
-        let usual = if usual.is_finite() { Duration::from_secs_f64(usual) } else { Duration::ZERO };
-        dialogue.promised.min(self.answer_by(dialogue)).saturating_sub(usual)
+        let serving = self.servers.values().filter(|s| s.trial_at.is_none());
+        let usual = serving.map(|s| s.usual).min().unwrap_or_default();
+        dialogue.promised.min(dialogue.answer_by).saturating_sub(usual)
     }
 
-    /// Answers a second that this proxy has from a warm server: what the others see scales alike.
-    fn warm_rate(&self) -> f64 {
+    /// Answers a second that a warm server has borne from this proxy: what the others send scales alike.
+    fn borne_by_the_warm(&self) -> f64 {
         let warm = self.servers.values().filter(|s| s.cold_level(self.now, &self.figures).is_none());
-        let borne: Vec<f64> = warm.map(|s| s.borne).collect();
-        borne.iter().sum::<f64>() / borne.len().max(1) as f64
+        let (sum, count) = warm.fold((0.0, 0.0), |(sum, count), s| (sum + s.borne, count + 1.0));
+        sum / f64::max(count, 1.0)
     }
 
-    /// A server has answered a launch of this dialogue: a sign of life that ends any silence.
-    fn answered(
-        &mut self, id: &DialogueId, launch: LaunchNo, server: &ServerId, out: &mut dyn Signalling,
-    ) -> Option<Duration> {
-        let name = server;
-        let server = self.servers.get_mut(server)?;
-        let at = server.take_out(id, launch);
-        server.last_sign = self.now;
-        server.misses = 0;
-        if let Mode::Aside { .. } = server.mode
-            && at.is_some()
-        {
-            server.mode = Mode::Serving;
-            server.limit = 1.0;
-            if std::mem::take(&mut server.was_down) {
-                // It has died and started before the list told, so it counts as cold from here.
-                server.started = Some(self.now);
-            }
-            out.log(&format!("{} back after a trial of {:?}", name.0, self.now - at.unwrap_or_default()));
+    /// Takes out a dialogue that does not stand, and remembers its caller while it may dial again.
+    fn let_go(&mut self, id: &DialogueId, out: &mut dyn Signalling) {
+        let Some(dialogue) = self.dialogues.remove(id) else { return };
+        if dialogue.at.is_some() && !dialogue.called_off && self.figures.may_cancel {
+            out.cancel(id, dialogue.last_launch());
+        }
+        let until = dialogue.first_dialled + self.figures.products[dialogue.product.0].patience;
+        if let Some(key) = dialogue.key {
+            self.let_go.insert(key, (dialogue.first_dialled, until));
         }
-        at
     }
 }
 
@@ -615,27 +528,28 @@
 }
 
 impl Server {
-    fn new(entry: &ListEntry, now: Duration) -> Self {
+    fn new(entry: &ListEntry, now: Duration, borne: f64, lot: u32) -> Self {
         Self {
             number: entry.number,
             listed: entry.listed,
-            mode: Mode::Serving,
             started: Some(entry.since).filter(|s| !s.is_zero()),
+            lot,
             told_free: None,
             placed_since: 0.0,
             out: Vec::new(),
             limit: FIRST_LIMIT,
             cut_at: Duration::ZERO,
+            last_launch: Duration::ZERO,
             last_sign: now,
+            trial_at: None,
+            rest: Duration::ZERO,
             misses: 0,
-            was_down: false,
             doubt: 1,
-            last_launch: Duration::ZERO,
-            usual: 0.0,
-            spread: 0.0,
+            usual: Duration::ZERO,
+            spread: Duration::ZERO,
             rate: 0.0,
-            rate_at: now,
-            borne: 0.0,
+            counted_at: now,
+            borne,
         }
     }
 
@@ -646,8 +560,17 @@
 
     fn read(&mut self, report: &LoadReport) {
         if let Some(free) = report.free_lines {
-            self.told_free = Some(free);
-            self.placed_since = 0.0;
+            (self.told_free, self.placed_since) = (Some(free), 0.0);
+        }
+    }
+
+    fn launched(&mut self, now: Duration, id: &DialogueId, dialogue: &Dialogue) {
+        self.placed_since += dialogue.width;
+        self.last_launch = now;
+        self.out.push(Out { dialogue: id.clone(), launch: dialogue.last_launch(), at: now });
+        if self.trial_at.is_some() {
+            self.rest = (self.rest * 2).min(LONGEST_REST);
+            self.trial_at = Some(now + self.rest);
         }
     }
 
@@ -656,19 +579,36 @@
         Some(self.out.remove(place).at)
     }
 
-    /// A dialogue stood after this wait.
-    fn learn(&mut self, now: Duration, wait: Duration, f: &Figures) {
-        let w = wait.as_secs_f64();
-        if self.usual == 0.0 {
-            (self.usual, self.spread) = (w, w / 2.0);
+    /// It has answered: a sign of life, and to a launch still out the end of any silence.
+    fn answered(
+        &mut self, now: Duration, id: &DialogueId, launch: LaunchNo, out: &mut dyn Signalling,
+    ) -> Option<Duration> {
+        self.last_sign = now;
+        let at = self.take_out(id, launch)?;
+        if self.trial_at.take().is_some() {
+            self.limit = 1.0;
+            if self.misses >= MISSES {
+                // It was down and has started before the list tells: cold from here.
+                self.started = Some(now);
+            }
+            out.log(&format!("server {} back: answered after {:?}", self.number.0, now - at));
         }
-        self.spread += NEWEST * ((w - self.usual).abs() - self.spread);
-        self.usual += NEWEST * (w - self.usual);
-        self.rate = self.rate_now(now) + 1.0 / RATE_SPAN;
-        let fall = (-(now - self.rate_at).as_secs_f64() / BORNE_SPAN).exp();
-        self.borne = (self.borne * fall).max(self.rate);
-        self.rate_at = now;
-        if wait <= f.ease {
+        self.misses = 0;
+        Some(at)
+    }
+
+    /// A dialogue stood after this wait.
+    fn learn(&mut self, now: Duration, wait: Duration, ease: Duration) {
+        if self.usual.is_zero() {
+            (self.usual, self.spread) = (wait, wait / 2);
+        }
+        self.spread = self.spread.mul_f64(1.0 - NEWEST) + wait.abs_diff(self.usual).mul_f64(NEWEST);
+        self.usual = self.usual.mul_f64(1.0 - NEWEST) + wait.mul_f64(NEWEST);
+        let since = (now - self.counted_at).as_secs_f64();
+        self.rate = self.rate * (-since / RATE_SPAN).exp() + 1.0 / RATE_SPAN;
+        self.borne = (self.borne * (-since / BORNE_SPAN).exp()).max(self.rate);
+        self.counted_at = now;
+        if wait <= ease {
             self.doubt = 1;
             if (self.out.len() + 2) as f64 > self.limit {
                 self.limit += self.limit.min(1.0 / self.limit);
@@ -683,55 +623,43 @@
         self.cut_at = now;
     }
 
-    fn rate_now(&self, now: Duration) -> f64 {
-        self.rate * (-(now - self.rate_at).as_secs_f64() / RATE_SPAN).exp()
-    }
-
     /// How long it may keep silent.
-    fn patience(&self, f: &Figures) -> Duration {
-        f.silence.max(Duration::from_secs_f64(self.usual + 4.0 * self.spread)) * self.doubt
-    }
-
-    /// Out of reach. One miss may be chance; a run of them without an answer between is a server down.
-    /// A set-up broken off is no miss: a server can do that to some and serve the rest well.
-    fn missed(&mut self, now: Duration, rest: Duration, id: &ServerId, out: &mut dyn Signalling) {
-        self.misses += 1;
-        if self.misses >= MISSES {
-            self.was_down = true;
-            self.set_aside(now, rest, "out of reach", id, out);
-        }
+    fn patience(&self, figures: &Figures) -> Duration {
+        figures.silence.max(self.usual + self.spread * 4) * self.doubt
     }
 
     fn set_aside(
         &mut self, now: Duration, rest: Duration, why: &str, id: &ServerId, out: &mut dyn Signalling,
     ) {
-        if matches!(self.mode, Mode::Serving) {
+        if self.trial_at.is_none() {
+            (self.trial_at, self.rest) = (Some(now + rest), rest);
             self.doubt = (self.doubt * 2).min(LONGEST_DOUBT);
-            self.mode = Mode::Aside { trial_at: now + rest, rest };
-            out.log(&format!("{} set aside: {why}, {} out", id.0, self.out.len()));
+            let quiet = now.saturating_sub(self.last_sign);
+            out.log(&format!(
+                "server {} at {} set aside: {why}, {} out, last sign {quiet:?} ago",
+                self.number.0,
+                id.0,
+                self.out.len()
+            ));
         }
     }
 
     /// The share of its capacity that a server just started is sure to have; none once warm.
-    fn cold_level(&self, now: Duration, f: &Figures) -> Option<f64> {
-        let age = now.saturating_sub(self.started?);
-        let warmed = age.as_secs_f64() / f.warm_after.as_secs_f64();
-        (warmed < 1.0).then_some(f.cold_share + (1.0 - f.cold_share) * warmed)
+    fn cold_level(&self, now: Duration, figures: &Figures) -> Option<f64> {
+        let warmed = now.saturating_sub(self.started?).as_secs_f64() / figures.warm_after.as_secs_f64();
+        (warmed < 1.0).then_some(figures.cold_share + (1.0 - figures.cold_share) * warmed)
     }
 
-    /// The earliest moment that its trial, its cold budget or a limit below 1 leaves for a launch.
-    fn next_launch(&self, f: &Figures, warm_rate: f64) -> Duration {
-        let mut at = Duration::ZERO;
-        if let Mode::Aside { trial_at, .. } = self.mode {
-            at = trial_at;
-        }
+    /// The earliest moment that its trial, a limit below 1 or its cold budget leaves for a launch.
+    fn next_launch(&self, figures: &Figures, warm: f64) -> Duration {
+        let mut gap = Duration::ZERO;
         if self.limit < 1.0 {
-            at = at.max(self.last_launch + Duration::from_secs_f64(self.usual / self.limit));
+            gap = self.usual.div_f64(self.limit);
         }
-        if let Some(level) = self.cold_level(self.last_launch, f) {
-            let rate = (warm_rate.max(self.borne) * level * f.cold_multiple).max(0.1);
-            at = at.max(self.last_launch + Duration::from_secs_f64(1.0 / rate));
+        if let Some(level) = self.cold_level(self.last_launch, figures) {
+            let rate = warm.max(self.borne) * level * figures.cold_multiple;
+            gap = gap.max(Duration::from_secs_f64(1.0 / rate.max(LOWEST_RATE)));
         }
-        at
+        self.trial_at.unwrap_or_default().max(self.last_launch + gap)
     }
 }
