A launch overtaken by later answers counts as lost and goes elsewhere

Told from slowness: later launches there are answered. Also covers lossy links. Harm: where a processor does not take set-ups in turn.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -93,6 +93,8 @@
     dialogue: DialogueId,
     launch: LaunchNo,
     at: Duration,
+    /// A later launch was answered first, though a server takes set-ups in turn: probably lost on the way.
+    overtaken: bool,
 }
 
 /// A dialogue that is owed an answer.
@@ -137,7 +139,7 @@
     Brain::answer_before_the_cut_off,
     Brain::refuse_the_hopeless,
     Brain::set_the_silent_aside,
-    Brain::call_off_at_the_silent,
+    Brain::call_off_the_lost,
     Brain::cut_on_a_long_wait,
     Brain::launch_the_best,
 ];
@@ -360,10 +362,11 @@
         let warm = self.borne_by_the_warm();
         let waiting = self.dialogues.values().any(|d| d.at.is_none());
         let servers = self.servers.values().flat_map(|s| {
-            let oldest = s.out.first();
+            let oldest = s.in_turn().next();
             let silent = oldest.map(|o| s.last_sign.max(o.at) + s.patience(&self.figures));
             let strained = oldest.map(|o| o.at + self.figures.ease);
-            [silent, strained, waiting.then(|| s.next_launch(&self.figures, warm))]
+            let lost = s.out.iter().map(|o| s.lost_at(o, &self.figures)).filter(|at| *at > self.now).min();
+            [silent, strained, lost, waiting.then(|| s.next_launch(&self.figures, warm))]
         });
         let dialogues = self.dialogues.values().map(|d| self.next_due_of(d));
         servers.flatten().chain(dialogues).filter(|due| *due > self.now).min()
@@ -408,7 +411,7 @@
     /// Launches out and no sign of life: hung, cut off, or dead before the list tells.
     fn set_the_silent_aside(&mut self, out: &mut dyn Signalling) -> bool {
         let silent = self.servers.iter_mut().find(|(_, s)| {
-            let since = s.out.first().map(|oldest| s.last_sign.max(oldest.at));
+            let since = s.in_turn().next().map(|oldest| s.last_sign.max(oldest.at));
             s.trial_at.is_none() && since.is_some_and(|t| self.now >= t + s.patience(&self.figures))
         });
         let Some((id, server)) = silent else { return false };
@@ -416,17 +419,16 @@
         true
     }
 
-    /// What is out at a server set aside is called off after a second patience, to go elsewhere while there
-    /// is hope: a merely slow server has answered by then, and what is called off may be work all the same.
-    fn call_off_at_the_silent(&mut self, out: &mut dyn Signalling) -> bool {
-        let figures = &self.figures;
+    /// A launch that is probably lost is called off, to go elsewhere while there is hope.
+    fn call_off_the_lost(&mut self, out: &mut dyn Signalling) -> bool {
+        let (now, figures) = (self.now, &self.figures);
         let lost = self.dialogues.iter_mut().find(|(id, d)| {
-            let server = d.at.as_ref().and_then(|at| self.servers.get(at)).filter(|s| s.trial_at.is_some());
-            let launch = server.and_then(|s| s.out.iter().find(|o| o.dialogue == **id).zip(Some(s)));
+            let server = d.at.as_ref().and_then(|at| self.servers.get(at));
             figures.may_cancel
                 && !d.called_off
-                && self.now + figures.release < d.promised
-                && launch.is_some_and(|(launch, s)| self.now >= launch.at + s.patience(figures))
+                && now + figures.release < d.promised
+                && server
+                    .is_some_and(|s| s.out.iter().any(|o| o.dialogue == **id && now >= s.lost_at(o, figures)))
         });
         let Some((id, dialogue)) = lost else { return false };
         dialogue.called_off = true;
@@ -437,7 +439,7 @@
     /// A launch unanswered past the ease cuts the limit without waiting for its answer.
     fn cut_on_a_long_wait(&mut self, _out: &mut dyn Signalling) -> bool {
         let strained = self.servers.values_mut().find(|s| {
-            let oldest = s.out.first().map(|o| o.at).filter(|at| *at >= s.cut_at);
+            let oldest = s.in_turn().next().map(|o| o.at).filter(|at| *at >= s.cut_at);
             oldest.is_some_and(|at| self.now >= at + self.figures.ease)
         });
         strained.map(|server| server.cut(self.now)).is_some()
@@ -484,7 +486,7 @@
         let room = if server.trial_at.is_some() { 1.0 } else { server.limit.max(1.0) };
         server.listed == Listed::Active
             && server.estimate() >= width
-            && (server.out.len() + 1) as f64 <= room
+            && (server.in_turn().count() + 1) as f64 <= room
             && self.now >= server.next_launch(&self.figures, warm)
     }
 
@@ -567,7 +569,12 @@
     fn launched(&mut self, now: Duration, id: &DialogueId, dialogue: &Dialogue) {
         self.placed_since += dialogue.width;
         self.last_launch = now;
-        self.out.push(Out { dialogue: id.clone(), launch: dialogue.last_launch(), at: now });
+        self.out.push(Out {
+            dialogue: id.clone(),
+            launch: dialogue.last_launch(),
+            at: now,
+            overtaken: false,
+        });
         if self.trial_at.is_some() {
             self.rest = (self.rest * 2).min(LONGEST_REST);
             self.trial_at = Some(now + self.rest);
@@ -585,6 +592,7 @@
     ) -> Option<Duration> {
         self.last_sign = now;
         let at = self.take_out(id, launch)?;
+        self.out.iter_mut().for_each(|o| o.overtaken |= o.at < at);
         if self.trial_at.take().is_some() {
             self.limit = 1.0;
             if self.misses >= MISSES {
@@ -610,7 +618,7 @@
         self.counted_at = now;
         if wait <= ease {
             self.doubt = 1;
-            if (self.out.len() + 2) as f64 > self.limit {
+            if (self.in_turn().count() + 2) as f64 > self.limit {
                 self.limit += self.limit.min(1.0 / self.limit);
             }
         } else if now - wait >= self.cut_at {
@@ -623,9 +631,32 @@
         self.cut_at = now;
     }
 
+    /// The launches that are still in turn there, oldest first.
+    fn in_turn(&self) -> impl Iterator<Item = &Out> {
+        self.out.iter().filter(|o| !o.overtaken)
+    }
+
+    /// The wait that nearly all answers stay within.
+    fn ordinary(&self) -> Duration {
+        self.usual + self.spread * 4
+    }
+
     /// How long it may keep silent.
     fn patience(&self, figures: &Figures) -> Duration {
-        figures.silence.max(self.usual + self.spread * 4) * self.doubt
+        figures.silence.max(self.ordinary()) * self.doubt
+    }
+
+    /// When a launch out there counts as lost: overtaken and past the ordinary wait; or at a server set aside
+    /// a second patience on, since a merely slow one has answered by then, and what is called off may be work
+    /// all the same.
+    fn lost_at(&self, launch: &Out, figures: &Figures) -> Duration {
+        if launch.overtaken {
+            launch.at + self.ordinary()
+        } else if self.trial_at.is_some() {
+            launch.at + self.patience(figures)
+        } else {
+            Duration::MAX
+        }
     }
 
     fn set_aside(
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -307,3 +307,13 @@
         .at(2000);
     assert_snapshot!(night.told());
 }
+
+/// A launch that later ones overtake was lost on the way: called off, and launched elsewhere in time.
+#[test]
+fn an_overtaken_launch_goes_elsewhere() {
+    let mut night = night("ab");
+    night.calm("a", 0, 50, 4).told();
+    night.at(3000).dial("d1", 0).at(3010).dial("d2", 0).at(3060).stands("d2", "a").at(3200);
+    night.ends("d1", 0, "a", Outcome::CalledOff).at(3550);
+    assert_snapshot!(night.told());
+}
