Cold budget grows from what the cold server itself answers

A server that answers so much now can do at least that, and the rule allows a multiple of it. Harm: none seen; the multiple keeps the margin.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -688,7 +688,7 @@
             gap = self.usual.div_f64(self.limit);
         }
         if let Some(level) = self.cold_level(self.last_launch, figures) {
-            let rate = warm.max(self.borne) * level * figures.cold_multiple;
+            let rate = (warm.max(self.borne) * level).max(self.rate) * figures.cold_multiple;
             gap = gap.max(Duration::from_secs_f64(1.0 / rate.max(LOWEST_RATE)));
         }
         self.trial_at.unwrap_or_default().max(self.last_launch + gap)
