--- a/src/brain.rs
+++ b/src/brain.rs
@@ -34,7 +34,7 @@
 const LOWEST_RATE: f64 = 0.1;
 /// Weight of the newest answer in a smoothed figure.
 const NEWEST: f64 = 0.2;
-/// Answers a second are smoothed over this time, in seconds, and the most borne fades over the other.
+/// Answers a second are smoothed over this time at most, in seconds, and the most borne fades over the other.
 const RATE_SPAN: f64 = 5.0;
 const BORNE_SPAN: f64 = 60.0;
 
@@ -86,6 +86,7 @@
     /// Smoothed answers a second when last counted, and the most borne, its forerunner's included.
     rate: f64,
     counted_at: Duration,
+    known_since: Duration,
     borne: f64,
 }
 
@@ -551,6 +552,7 @@
             spread: Duration::ZERO,
             rate: 0.0,
             counted_at: now,
+            known_since: now,
             borne,
         }
     }
@@ -613,7 +615,8 @@
         self.spread = self.spread.mul_f64(1.0 - NEWEST) + wait.abs_diff(self.usual).mul_f64(NEWEST);
         self.usual = self.usual.mul_f64(1.0 - NEWEST) + wait.mul_f64(NEWEST);
         let since = (now - self.counted_at).as_secs_f64();
-        self.rate = self.rate * (-since / RATE_SPAN).exp() + 1.0 / RATE_SPAN;
+        let span = (now - self.known_since).as_secs_f64().clamp(1.0, RATE_SPAN);
+        self.rate = self.rate * (-since / span).exp() + 1.0 / span;
         self.borne = (self.borne * (-since / BORNE_SPAN).exp()).max(self.rate);
         self.counted_at = now;
         if wait <= ease {
