--- a/crates/drill/src/fields.rs
+++ b/crates/drill/src/fields.rs
@@ -59,7 +59,10 @@
     value.parse().ok().with_context(|| format!("{name}={value} cannot be read"))
 }
 
+/// No time on the wire is longer than this, so that sums of a few never overflow.
+const LONGEST_MS: f64 = 1e15;
+
 pub fn millis(name: &str, value: f64) -> Result<Duration> {
-    let time = Duration::try_from_secs_f64(value / 1000.0);
-    time.ok().with_context(|| format!("{name}={value} is no time"))
+    ensure!((0.0..=LONGEST_MS).contains(&value), "{name}={value} is no time");
+    Ok(Duration::from_secs_f64(value / 1000.0))
 }
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -1,6 +1,6 @@
 //! Reads the wire line by line and turns each line straight into a call on the decisions.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -30,8 +30,6 @@
 struct Instance {
     brain: Brain,
     products: usize,
-    /// Core servers that a list has named to it.
-    known: BTreeSet<ServerId>,
 }
 
 impl Wire {
@@ -56,7 +54,9 @@
         let fields = Fields::read(rest, (name == "ENLIST").then_some("conf"))?;
         if name == "MARK" {
             ensure!(self.frame.is_none(), "a batch is still open");
-            self.now = fields.time("clockMs")?;
+            let now = fields.time("clockMs")?;
+            ensure!(now >= self.now, "the clock runs back from {:?} to {now:?}", self.now);
+            self.now = now;
             self.frame = Some(fields.whole::<u64>("frame")?.to_string());
             self.selected = None;
             return Ok(None);
@@ -83,7 +83,7 @@
                 let products = plan.products.len();
                 let brain = Brain::new(plan, fields.whole("rngSeed")?);
                 let number = self.selected.context("no instance is selected")?;
-                self.instances.insert(number, Instance { brain, products, known: BTreeSet::new() });
+                self.instances.insert(number, Instance { brain, products });
             }
             "DESTROY" => {
                 self.instance()?;
@@ -186,7 +186,6 @@
         let entries = entries.clone();
         let now = self.now;
         let (instance, reply) = self.instance()?;
-        instance.known.extend(entries.iter().map(|entry| entry.server.clone()));
         instance.brain.listed(now, whole, &entries, reply);
         Ok(())
     }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -236,6 +236,7 @@
             shunned: None,
             not_before: now,
         };
+        self.look |= now >= self.launch_by(&dialogue);
         self.due = self.due.into_iter().chain([self.next_due_of(&dialogue)]).min();
         self.dialogues.insert(arrival.id, dialogue);
         self.settle(out);
@@ -462,7 +463,8 @@
         let server = self.servers.get_mut(&server_id).expect("it was chosen");
         dialogue.launches += 1;
         server.launched(self.now, &id, dialogue);
-        out.launch(&id, &server_id, dialogue.answer_by + self.figures.tick * 2 - self.now);
+        let time_out = (dialogue.answer_by + self.figures.tick * 2).saturating_sub(self.now);
+        out.launch(&id, &server_id, time_out);
         dialogue.at = Some(server_id);
         true
     }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -125,8 +125,20 @@
         self
     }
 
+    fn dial_until(&mut self, name: &str, cut_off: u64) -> &mut Self {
+        let arrival = Arrival { cut_off: ms(cut_off), ..self.arrival(name, 0, 0, false) };
+        self.brain.arrived(ms(self.trace.now), arrival, &mut self.trace);
+        self
+    }
+
     fn dial_as(&mut self, name: &str, product: usize, choice: i64, again: bool) -> &mut Self {
-        let arrival = Arrival {
+        let arrival = self.arrival(name, product, choice, again);
+        self.brain.arrived(ms(self.trace.now), arrival, &mut self.trace);
+        self
+    }
+
+    fn arrival(&self, name: &str, product: usize, choice: i64, again: bool) -> Arrival {
+        Arrival {
             id: dialogue(name),
             key: Some(DialledKey(Arc::from(&name[..2]))),
             product: ProductId(product),
@@ -136,9 +148,7 @@
             cut_off: ms(self.trace.now + 3000),
             again,
             came_back: false,
-        };
-        self.brain.arrived(ms(self.trace.now), arrival, &mut self.trace);
-        self
+        }
     }
 
     fn dial(&mut self, name: &str, choice: i64) -> &mut Self {
@@ -317,3 +327,11 @@
     night.ends("d1", 0, "a", Outcome::CalledOff).at(3550);
     assert_snapshot!(night.told());
 }
+
+/// One that arrives at or past its cut-off is answered at once and never launched.
+#[test]
+fn past_its_cut_off_a_dialogue_is_answered_at_once() {
+    let mut night = night("a");
+    night.at(1000).dial("d1", 0).dial_until("d2", 1005).dial_until("d3", 900).at(1100);
+    assert_snapshot!(night.told());
+}
