--- a/src/brain.rs
+++ b/src/brain.rs
@@ -94,8 +94,8 @@
     dialogue: DialogueId,
     launch: LaunchNo,
     at: Duration,
-    /// A later launch was answered first, though a server takes set-ups in turn: probably lost on the way.
-    overtaken: bool,
+    /// When a later launch was answered first, though a server takes set-ups in turn: probably lost.
+    overtaken: Option<Duration>,
 }
 
 /// A dialogue that is owed an answer.
@@ -305,6 +305,9 @@
         }
         if end.closed {
             self.dialogues.remove(&end.dialogue);
+        } else if !self.dialogues.contains_key(&end.dialogue) {
+            // Called off in the moment it stood: the answer is owed again, and it is over here.
+            out.fail(&end.dialogue);
         } else if let Some(dialogue) = self.dialogues.get_mut(&end.dialogue)
             && dialogue.at.as_ref() == Some(&end.server)
             && dialogue.last_launch() == end.launch
@@ -573,12 +576,7 @@
     fn launched(&mut self, now: Duration, id: &DialogueId, dialogue: &Dialogue) {
         self.placed_since += dialogue.width;
         self.last_launch = now;
-        self.out.push(Out {
-            dialogue: id.clone(),
-            launch: dialogue.last_launch(),
-            at: now,
-            overtaken: false,
-        });
+        self.out.push(Out { dialogue: id.clone(), launch: dialogue.last_launch(), at: now, overtaken: None });
         if self.trial_at.is_some() {
             self.rest = (self.rest * 2).min(LONGEST_REST);
             self.trial_at = Some(now + self.rest);
@@ -596,7 +594,9 @@
     ) -> Option<Duration> {
         self.last_sign = now;
         let at = self.take_out(id, launch)?;
-        self.out.iter_mut().for_each(|o| o.overtaken |= o.at < at);
+        for earlier in self.out.iter_mut().filter(|o| o.at < at) {
+            earlier.overtaken.get_or_insert(now);
+        }
         if self.trial_at.take().is_some() {
             self.limit = 1.0;
             if self.misses >= MISSES {
@@ -638,7 +638,7 @@
 
     /// The launches that are still in turn there, oldest first.
     fn in_turn(&self) -> impl Iterator<Item = &Out> {
-        self.out.iter().filter(|o| !o.overtaken)
+        self.out.iter().filter(|o| o.overtaken.is_none())
     }
 
     /// The wait that nearly all answers stay within.
@@ -655,8 +655,9 @@
     /// a second patience on, since a merely slow one has answered by then, and what is called off may be work
     /// all the same.
     fn lost_at(&self, launch: &Out, figures: &Figures) -> Duration {
-        if launch.overtaken {
-            launch.at + self.ordinary()
+        if let Some(overtaken) = launch.overtaken {
+            // Not in the same breath: its answer may be the next input.
+            (launch.at + self.ordinary()).max(overtaken + figures.tick)
         } else if self.trial_at.is_some() {
             launch.at + self.patience(figures)
         } else {
