--- a/src/brain.rs
+++ b/src/brain.rs
@@ -459,7 +459,7 @@
         }
         let waiting = self.dialogues.iter().filter(|(_, d)| d.at.is_none() && self.now >= d.not_before);
         let mut waiting: Vec<_> = waiting.collect();
-        waiting.sort_by(|(_, a), (_, b)| b.gain.total_cmp(&a.gain).then(b.promised.cmp(&a.promised)));
+        waiting.sort_by(|(_, a), (_, b)| b.gain.total_cmp(&a.gain).then(b.first_dialled.cmp(&a.first_dialled)));
         let best = waiting.into_iter().find_map(|(id, d)| Some((id.clone(), self.choose(d, warm)?)));
         let Some((id, server_id)) = best else { return false };
         let dialogue = self.dialogues.get_mut(&id).expect("it waits");
