The excess of a tenant beyond its part of the quotas counts little

What is over is guessed from the tenant's part of the dialogues here, which needs no total. Harm: where one proxy's mix of tenants is unlike the fleet's, it judges by its own.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -8,8 +8,10 @@
 //! server with the most estimated free lines (told free less own placed since). Beside it stand:
 //! 1. Limit: set-ups unanswered at a server, plus one for a full round in ease, cut by a share on strain.
 //! 2. Waiting room: a dialogue that finds no server waits here, higher gain first, while it has hope.
-//! 3. Silence: a server that answers nothing is set aside; one trial dialogue brings it back.
-//! 4. Cold budget: launches to a server just started are spaced by what warm servers bear.
+//! 3. Quotas: of a tenant that asks more than its part, the excess counts little and so comes last.
+//! 4. Silence: a server that answers nothing is set aside; one trial dialogue brings it back.
+//! 5. Lost launches: one that later ones overtake is called off and goes elsewhere.
+//! 6. Cold budget: launches to a server just started are spaced by what warm servers bear.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -34,6 +36,8 @@
 const LOWEST_RATE: f64 = 0.1;
 /// Weight of the newest answer in a smoothed figure.
 const NEWEST: f64 = 0.2;
+/// Weight of the newest dialogue in the tenants' parts.
+const NEWEST_DIALOGUE: f64 = 0.01;
 /// Answers a second are smoothed over this time at most, in seconds, and the most borne fades over the other.
 const RATE_SPAN: f64 = 5.0;
 const BORNE_SPAN: f64 = 60.0;
@@ -41,6 +45,7 @@
 /// The figures that decisions use, made from the route plan at start.
 struct Figures {
     products: Vec<Product>,
+    over_quota_share: f64,
     tick: Duration,
     release: Duration,
     /// A wait above this is strain and cuts a limit.
@@ -118,8 +123,15 @@
     not_before: Duration,
 }
 
+/// A tenant's part of all quotas, and its part of the dialogues that lately came in here.
+struct Demand {
+    quota: f64,
+    asked: f64,
+}
+
 pub struct Brain {
     figures: Figures,
+    demands: Vec<Demand>,
     pcg: Pcg,
     now: Duration,
     servers: BTreeMap<ServerId, Server>,
@@ -149,7 +161,11 @@
     pub fn new(plan: RoutePlan, seed: u64) -> Self {
         let tightest = plan.products.iter().map(|p| p.promised).min().unwrap_or(Duration::MAX);
         let resend = if plan.resend.is_zero() { Duration::MAX } else { plan.resend };
+        let quotas: f64 = plan.tenants.iter().map(|t| t.quota).sum();
+        let demand = |t: &Tenant| Demand { quota: t.quota / quotas, asked: t.quota / quotas };
+        let demands = plan.tenants.iter().map(demand).collect();
         let figures = Figures {
+            over_quota_share: plan.over_quota_share,
             products: plan.products,
             tick: plan.tick,
             release: plan.release,
@@ -165,6 +181,7 @@
         };
         Self {
             figures,
+            demands,
             pcg: Pcg::new(seed),
             now: Duration::ZERO,
             servers: BTreeMap::new(),
@@ -220,6 +237,8 @@
         let first_dialled = before.map_or(now, |(first, _)| first);
         let unknown = arrival.again && !arrival.came_back && before.is_none();
         let late = unknown || now >= first_dialled + product.promised;
+        let part = if self.beyond_quota(arrival.tenant) { self.figures.over_quota_share } else { 1.0 };
+        let product = &self.figures.products[arrival.product.0];
         let dialogue = Dialogue {
             product: arrival.product,
             key: arrival.key,
@@ -228,7 +247,7 @@
             width: arrival.width,
             promised: product.promised + if late { now } else { first_dialled },
             answer_by: arrival.cut_off.saturating_sub(self.figures.tick * 2),
-            gain: product.gain * if late { product.late_share } else { 1.0 },
+            gain: product.gain * part * if late { product.late_share } else { 1.0 },
             turned_back: 0,
             launches: 0,
             at: None,
@@ -459,7 +478,8 @@
         }
         let waiting = self.dialogues.iter().filter(|(_, d)| d.at.is_none() && self.now >= d.not_before);
         let mut waiting: Vec<_> = waiting.collect();
-        waiting.sort_by(|(_, a), (_, b)| b.gain.total_cmp(&a.gain).then(b.first_dialled.cmp(&a.first_dialled)));
+        waiting
+            .sort_by(|(_, a), (_, b)| b.gain.total_cmp(&a.gain).then(b.first_dialled.cmp(&a.first_dialled)));
         let best = waiting.into_iter().find_map(|(id, d)| Some((id.clone(), self.choose(d, warm)?)));
         let Some((id, server_id)) = best else { return false };
         let dialogue = self.dialogues.get_mut(&id).expect("it waits");
@@ -516,6 +536,17 @@
         sum / f64::max(count, 1.0)
     }
 
+    /// Room is short only where tenants together ask for about their quotas or more; then one whose part of
+    /// the dialogues exceeds its part of the quotas is over by the difference, and chance says with which.
+    fn beyond_quota(&mut self, tenant: Option<TenantId>) -> bool {
+        let Some(TenantId(tenant)) = tenant.filter(|t| t.0 < self.demands.len()) else { return false };
+        for (place, demand) in self.demands.iter_mut().enumerate() {
+            demand.asked += NEWEST_DIALOGUE * (f64::from(place == tenant) - demand.asked);
+        }
+        let Demand { quota, asked } = self.demands[tenant];
+        self.pcg.share() < 1.0 - quota / asked
+    }
+
     /// Takes out a dialogue that does not stand, and remembers its caller while it may dial again.
     fn let_go(&mut self, id: &DialogueId, out: &mut dyn Signalling) {
         let Some(dialogue) = self.dialogues.remove(id) else { return };
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -76,8 +76,8 @@
     };
     let plan = RoutePlan {
         products: vec![product(1500, 1.0), product(900, 6.0)],
-        tenants: Vec::new(),
-        over_quota_share: 1.0,
+        tenants: vec![Tenant { quota: 30.0 }, Tenant { quota: 10.0 }],
+        over_quota_share: 0.2,
         proxies: 4,
         tick: ms(5),
         release: ms(300),
@@ -343,3 +343,26 @@
     night.dial("d1", 0).at(40).stands("d1", "a").at(45).ends("d1", 0, "a", Outcome::CalledOff).at(200);
     assert_snapshot!(night.told());
 }
+
+/// A tenant that asks more than its part of the quotas is passed over with the excess, when room is short.
+#[test]
+fn beyond_its_quota_a_tenant_comes_last() {
+    let mut night = night("a");
+    for n in 0..60 {
+        let arrival =
+            Arrival { tenant: Some(TenantId(1)), ..night.arrival(&format!("o{n:02}"), 0, 0, false) };
+        night.brain.arrived(ms(n), arrival, &mut night.trace);
+        night.at(n).stands(&format!("o{n:02}"), "a");
+    }
+    night.told();
+    night.at(100).dial("d1", 0).dial("d2", 0).dial("d3", 0);
+    for (name, tenant) in [("t0", 0), ("t1", 1), ("t2", 1), ("t3", 1), ("t4", 0)] {
+        let arrival = Arrival { tenant: Some(TenantId(tenant)), ..night.arrival(name, 0, 0, false) };
+        night.at(110);
+        night.brain.arrived(ms(110), arrival, &mut night.trace);
+    }
+    for (n, name) in ["d1", "d2", "t0", "t4", "t1", "t2", "t3", "d3"].into_iter().enumerate() {
+        night.at(120 + 10 * n as u64).stands(name, "a");
+    }
+    assert_snapshot!(night.told());
+}
