--- a/src/brain.rs
+++ b/src/brain.rs
@@ -148,12 +148,11 @@
 type Rule = fn(&mut Brain, &mut dyn Signalling) -> bool;
 
 /// Each rule is a condition and an effect and tells whether it fired.
-const RULES: [Rule; 6] = [
+const RULES: [Rule; 5] = [
     Brain::answer_before_the_cut_off,
     Brain::refuse_the_hopeless,
     Brain::set_the_silent_aside,
     Brain::call_off_the_lost,
-    Brain::cut_on_a_long_wait,
     Brain::launch_the_best,
 ];
 
@@ -388,9 +387,8 @@
         let servers = self.servers.values().flat_map(|s| {
             let oldest = s.in_turn().next();
             let silent = oldest.map(|o| s.last_sign.max(o.at) + s.patience(&self.figures));
-            let strained = oldest.map(|o| o.at + self.figures.ease);
             let lost = s.out.iter().map(|o| s.lost_at(o, &self.figures)).filter(|at| *at > self.now).min();
-            [silent, strained, lost, waiting.then(|| s.next_launch(&self.figures, warm))]
+            [silent, lost, waiting.then(|| s.next_launch(&self.figures, warm))]
         });
         let dialogues = self.dialogues.values().map(|d| self.next_due_of(d));
         servers.flatten().chain(dialogues).filter(|due| *due > self.now).min()
@@ -460,15 +458,6 @@
         true
     }
 
-    /// A launch unanswered past the ease cuts the limit without waiting for its answer.
-    fn cut_on_a_long_wait(&mut self, _out: &mut dyn Signalling) -> bool {
-        let strained = self.servers.values_mut().find(|s| {
-            let oldest = s.in_turn().next().map(|o| o.at).filter(|at| *at >= s.cut_at);
-            oldest.is_some_and(|at| self.now >= at + self.figures.ease)
-        });
-        strained.map(|server| server.cut(self.now)).is_some()
-    }
-
     /// Of the dialogues that wait and have a server, the one of highest gain is launched, the newest first:
     /// where room is short the oldest is about to leave or to stand too late.
     fn launch_the_best(&mut self, out: &mut dyn Signalling) -> bool {
