--- a/src/brain.rs
+++ b/src/brain.rs
@@ -572,7 +572,7 @@
             trial_at: None,
             rest: Duration::ZERO,
             misses: 0,
-            doubt: 1,
+            doubt: 2,
             usual: Duration::ZERO,
             spread: Duration::ZERO,
             rate: 0.0,
