--- a/src/brain.rs
+++ b/src/brain.rs
@@ -140,9 +140,7 @@
     let_go: BTreeMap<DialledKey, (Duration, Duration)>,
     /// Something beyond arrivals has changed since the rules were last gone through.
     look: bool,
-    /// The next moment at which a rule may fire by time alone, and the alarm set for it.
-    due: Option<Duration>,
-    alarm_at: Option<Duration>,
+    alarm_set: bool,
 }
 
 type Rule = fn(&mut Brain, &mut dyn Signalling) -> bool;
@@ -187,8 +185,7 @@
             dialogues: BTreeMap::new(),
             let_go: BTreeMap::new(),
             look: true,
-            due: None,
-            alarm_at: None,
+            alarm_set: false,
         }
     }
 
@@ -255,7 +252,6 @@
             not_before: now,
         };
         self.look |= now >= self.launch_by(&dialogue);
-        self.due = self.due.into_iter().chain([self.next_due_of(&dialogue)]).min();
         self.dialogues.insert(arrival.id, dialogue);
         self.settle(out);
     }
@@ -347,8 +343,7 @@
 
     pub fn alarm(&mut self, now: Duration, _timer: TimerId, out: &mut dyn Signalling) {
         self.turn_to(now);
-        // The alarm that is due may ring a moment early; one that was overtaken rings for nothing.
-        self.alarm_at = self.alarm_at.filter(|at| *at > now + self.figures.tick);
+        self.alarm_set = false;
         self.settle(out);
     }
 
@@ -364,41 +359,15 @@
         self.let_go.retain(|_, (_, until)| *until > now);
     }
 
-    /// Goes through the rules until none fires, then sees to it that the next due moment is not missed.
+    /// Goes through the rules until none fires, and once a tick while a dialogue is owed an answer.
     /// After an arrival at a moment already looked at, only the launching rule can fire.
     fn settle(&mut self, out: &mut dyn Signalling) {
         let rules = if self.look { &RULES[..] } else { &RULES[RULES.len() - 1..] };
         while rules.iter().any(|rule| rule(self, out)) {}
-        if std::mem::take(&mut self.look) {
-            self.due = self.next_due();
-        }
-        if let Some(due) = self.due
-            && self.alarm_at.is_none_or(|alarm| due < alarm)
-        {
-            let after = due.saturating_sub(self.now).max(self.figures.tick);
-            self.alarm_at = Some(self.now + after);
-            out.set_timer(TimerId(0), after);
-        }
-    }
-
-    fn next_due(&self) -> Option<Duration> {
-        let warm = self.borne_by_the_warm();
-        let waiting = self.dialogues.values().any(|d| d.at.is_none());
-        let servers = self.servers.values().flat_map(|s| {
-            let oldest = s.in_turn().next();
-            let silent = oldest.map(|o| s.last_sign.max(o.at) + s.patience(&self.figures));
-            let lost = s.out.iter().map(|o| s.lost_at(o, &self.figures)).filter(|at| *at > self.now).min();
-            [silent, lost, waiting.then(|| s.next_launch(&self.figures, warm))]
-        });
-        let dialogues = self.dialogues.values().map(|d| self.next_due_of(d));
-        servers.flatten().chain(dialogues).filter(|due| *due > self.now).min()
-    }
-
-    fn next_due_of(&self, dialogue: &Dialogue) -> Duration {
-        match dialogue.at {
-            Some(_) => dialogue.answer_by,
-            None if dialogue.not_before > self.now => dialogue.not_before,
-            None => self.launch_by(dialogue).max(self.now + self.figures.tick),
+        self.look = false;
+        if !self.dialogues.is_empty() && !self.alarm_set {
+            self.alarm_set = true;
+            out.set_timer(TimerId(0), self.figures.tick);
         }
     }
 
