--- a/crates/drill/src/start.rs
+++ b/crates/drill/src/start.rs
@@ -15,7 +15,6 @@
     #[serde(default)]
     client_habits: Habits,
     domain: Domain,
-    instances: u32,
     limits: Limits,
     #[serde(default)]
     over_share_worth: f64,
@@ -60,10 +59,6 @@
     #[serde(default)]
     cancel: bool,
     #[serde(default)]
-    may_probe: bool,
-    #[serde(default)]
-    peers: bool,
-    #[serde(default)]
     retry_after: bool,
     #[serde(default)]
     max_retry_after_ms: f64,
@@ -75,7 +70,6 @@
     cold_from: f64,
     ramp_time_ms: f64,
     tip_multiple: f64,
-    fall_ms: f64,
 }
 
 #[derive(Deserialize)]
@@ -105,19 +99,15 @@
         products,
         tenants: sheet.tenants.iter().map(|t| Tenant { quota: t.quota_rps }).collect(),
         over_quota_share: sheet.over_share_worth,
-        proxies: sheet.instances,
         tick: millis("tickMs", sheet.tick_ms)?.max(Duration::from_micros(1)),
         release: millis("releaseGuardMs", domain.release_guard_ms)?,
         resend: millis("resendMs", domain.resend_ms)?,
         max_launches: limits.attempts_cap,
         marks_again: sheet.client_habits.marks_retry,
         may_cancel: limits.cancel,
-        may_probe: limits.may_probe,
-        may_tell_peers: limits.peers,
         longest_return: millis("maxRetryAfterMs", longest_return)?,
         cold_share: rules.cold_from,
         warm_after: millis("rampTimeMs", rules.ramp_time_ms)?,
         fall_multiple: rules.tip_multiple,
-        fall_span: millis("fallMs", rules.fall_ms)?,
     })
 }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,8 +1,8 @@
 //! The decisions of one edge proxy: which core server takes a dialogue, and which dialogue is let go.
 //!
 //! The caller brings every input to [`Brain`] with the time since the start; `interface.rs` has the
-//! words spoken both ways, and the brain acts through `Signalling` alone. After every input the rules
-//! in `RULES` are gone through in order until none fires.
+//! words spoken both ways, and the brain acts through `Signalling` alone. After every input, and each tick
+//! while a dialogue is owed an answer, the rules in `RULES` are gone through in order until none fires.
 //!
 //! The design: a dialogue goes to its first choice while that server qualifies, else to the qualifying
 //! server with the most estimated free lines (told free less own placed since). Beside it stand:
@@ -137,7 +137,7 @@
     servers: BTreeMap<ServerId, Server>,
     dialogues: BTreeMap<DialogueId, Dialogue>,
     /// Callers let go who may dial again: when they first dialled, and until when they may.
-    let_go: BTreeMap<DialledKey, (Duration, Duration)>,
+    callers: BTreeMap<DialledKey, (Duration, Duration)>,
     /// Something beyond arrivals has changed since the rules were last gone through.
     look: bool,
     alarm_set: bool,
@@ -183,7 +183,7 @@
             now: Duration::ZERO,
             servers: BTreeMap::new(),
             dialogues: BTreeMap::new(),
-            let_go: BTreeMap::new(),
+            callers: BTreeMap::new(),
             look: true,
             alarm_set: false,
         }
@@ -226,15 +226,14 @@
         if now > self.now {
             self.turn_to(now);
         }
+        let part = if self.beyond_quota(arrival.tenant) { self.figures.over_quota_share } else { 1.0 };
         // A further try is measured from the first one: past the promised time little of its gain is left.
         let product = &self.figures.products[arrival.product.0];
         let may_be_again = arrival.again || !self.figures.marks_again;
-        let before = arrival.key.as_ref().filter(|_| may_be_again).and_then(|key| self.let_go.remove(key));
+        let before = arrival.key.as_ref().filter(|_| may_be_again).and_then(|key| self.callers.remove(key));
         let first_dialled = before.map_or(now, |(first, _)| first);
         let unknown = arrival.again && !arrival.came_back && before.is_none();
         let late = unknown || now >= first_dialled + product.promised;
-        let part = if self.beyond_quota(arrival.tenant) { self.figures.over_quota_share } else { 1.0 };
-        let product = &self.figures.products[arrival.product.0];
         let dialogue = Dialogue {
             product: arrival.product,
             key: arrival.key,
@@ -356,7 +355,7 @@
     fn turn_to(&mut self, now: Duration) {
         self.look = true;
         self.now = now;
-        self.let_go.retain(|_, (_, until)| *until > now);
+        self.callers.retain(|_, (_, until)| *until > now);
     }
 
     /// Goes through the rules until none fires, and once a tick while a dialogue is owed an answer.
@@ -513,7 +512,7 @@
         }
         let until = dialogue.first_dialled + self.figures.products[dialogue.product.0].patience;
         if let Some(key) = dialogue.key {
-            self.let_go.insert(key, (dialogue.first_dialled, until));
+            self.callers.insert(key, (dialogue.first_dialled, until));
         }
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -41,7 +41,6 @@
     pub tenants: Vec<Tenant>,
     /// The part of its gain that a dialogue keeps beyond its tenant's quota.
     pub over_quota_share: f64,
-    pub proxies: u32,
     /// The smallest time between two inputs.
     pub tick: Duration,
     /// How long a dialogue rests after a launch in doubt.
@@ -52,18 +51,14 @@
     /// Callers mark their further tries.
     pub marks_again: bool,
     pub may_cancel: bool,
-    pub may_probe: bool,
-    pub may_tell_peers: bool,
     /// The longest come-back time a caller heeds; zero where none may be given.
     pub longest_return: Duration,
     /// A core server starts with at least this share of its capacity ...
     pub cold_share: f64,
     /// ... is warm after this time ...
     pub warm_after: Duration,
-    /// ... and falls over at this multiple of what it can do just then ...
+    /// ... and falls over when all edge proxies keep up this multiple of what it can do just then.
     pub fall_multiple: f64,
-    /// ... kept up for this long.
-    pub fall_span: Duration,
 }
 
 pub struct Product {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -78,20 +78,16 @@
         products: vec![product(1500, 1.0), product(900, 6.0)],
         tenants: vec![Tenant { quota: 30.0 }, Tenant { quota: 10.0 }],
         over_quota_share: 0.2,
-        proxies: 4,
         tick: ms(5),
         release: ms(300),
         resend: ms(0),
         max_launches: 4,
         marks_again: true,
         may_cancel: true,
-        may_probe: false,
-        may_tell_peers: false,
         longest_return: ms(2000),
         cold_share: 0.4,
         warm_after: ms(10_000),
         fall_multiple: 2.5,
-        fall_span: ms(1000),
     };
     let mut night = Night { brain: Brain::new(plan, 7), trace: Trace::default() };
     for name in servers.chars() {
