--- a/src/brain.rs
+++ b/src/brain.rs
@@ -28,8 +28,9 @@
 const COLD_MARGIN: f64 = 0.7;
 /// The longest time between two trials of a server set aside.
 const LONGEST_REST: Duration = Duration::from_secs(4);
-/// So many launches in a row that do not reach a server put it aside.
+/// So many launches in a row that do not reach a server, or that fail there, put it aside.
 const MISSES: u32 = 2;
+const FAULTS: u32 = 3;
 /// A slow server's patience grows to at most this many times the usual.
 const LONGEST_DOUBT: u32 = 4;
 /// A cold server may always be sent so many launches a second.
@@ -81,8 +82,9 @@
     /// Set aside: when its next trial may go, and how long after that the one after.
     trial_at: Option<Duration>,
     rest: Duration,
-    /// Launches in a row that did not reach it.
+    /// Launches in a row that did not reach it, and that failed there.
     misses: u32,
+    faults: u32,
     /// Times its patience: doubles with each silence until it answers in ease.
     doubt: u32,
     /// Smoothed time to an answer, and its spread.
@@ -296,25 +298,30 @@
         self.turn_to(now);
         if let Some(server) = self.servers.get_mut(&end.server) {
             server.read(&end.report);
-            if matches!(end.outcome, Outcome::Ended | Outcome::Fault | Outcome::TurnedBack) {
+            let rest = self.figures.silence;
+            if matches!(end.outcome, Outcome::Ended | Outcome::TurnedBack) {
                 server.answered(now, &end.dialogue, end.launch, out);
-            } else {
-                server.take_out(&end.dialogue, end.launch);
+            } else if server.take_out(&end.dialogue, end.launch).is_some() {
+                // One failure may be chance, and a server can fail some and serve the rest well; a run of
+                // them is a server down, or one that fails all so quickly that it would draw everything.
+                match end.outcome {
+                    Outcome::Unreachable => server.misses += 1,
+                    Outcome::Fault | Outcome::BrokenOff => server.faults += 1,
+                    _ => {}
+                }
+                if server.misses >= MISSES {
+                    server.set_aside(now, rest, "out of reach", &end.server, out);
+                } else if server.faults >= FAULTS {
+                    server.set_aside(now, rest, "fails all", &end.server, out);
+                }
             }
-            match end.outcome {
-                // The design: full is zero free until its next report.
-                Outcome::TurnedBack | Outcome::NotSent => server.told_free = Some(0.0),
-                // One miss may be chance, a run of them is a server down. A set-up broken off is no miss:
-                // a server can do that to some and serve the rest well.
-                Outcome::Unreachable => server.misses += 1,
-                _ => {}
+            // The design: full is zero free until its next report.
+            if matches!(end.outcome, Outcome::TurnedBack | Outcome::NotSent) {
+                server.told_free = Some(0.0);
             }
             if end.outcome == Outcome::TurnedBack {
                 server.cut(now);
             }
-            if server.misses >= MISSES {
-                server.set_aside(now, self.figures.silence, "out of reach", &end.server, out);
-            }
         }
         if end.closed {
             self.dialogues.remove(&end.dialogue);
@@ -333,7 +340,7 @@
                     dialogue.not_before = now + self.figures.release;
                     dialogue.shunned = Some(end.server);
                 }
-                Outcome::Unreachable => dialogue.shunned = Some(end.server),
+                Outcome::Unreachable | Outcome::Fault => dialogue.shunned = Some(end.server),
                 _ => dialogue.turned_back += 1,
             }
         }
@@ -540,6 +547,7 @@
             trial_at: None,
             rest: Duration::ZERO,
             misses: 0,
+            faults: 0,
             doubt: 2,
             usual: Duration::ZERO,
             spread: Duration::ZERO,
@@ -593,7 +601,7 @@
             }
             out.log(&format!("server {} back: answered after {:?}", self.number.0, now - at));
         }
-        self.misses = 0;
+        (self.misses, self.faults) = (0, 0);
         Some(at)
     }
 
