--- a/src/brain.rs
+++ b/src/brain.rs
@@ -306,7 +306,9 @@
                 // them is a server down, or one that fails all so quickly that it would draw everything.
                 match end.outcome {
                     Outcome::Unreachable => server.misses += 1,
-                    Outcome::Fault | Outcome::BrokenOff => server.faults += 1,
+                    Outcome::Fault | Outcome::BrokenOff => {
+                        (server.last_sign, server.faults) = (now, server.faults + 1);
+                    }
                     _ => {}
                 }
                 if server.misses >= MISSES {
