--- a/src/brain.rs
+++ b/src/brain.rs
@@ -77,6 +77,7 @@
     out: Vec<Out>,
     limit: f64,
     cut_at: Duration,
+    opens_at: Duration,
     last_launch: Duration,
     last_sign: Duration,
     /// Set aside: when its next trial may go, and how long after that the one after.
@@ -214,6 +215,9 @@
             if let Some(before) = self.servers.remove(&entry.server) {
                 server.out = before.out;
             }
+            // All proxies hear of a start at once: each lets a part of its first gap pass, by chance.
+            let gap = server.cold_gap(now, &self.figures, self.least_borne_by_the_warm());
+            server.opens_at = now + gap.mul_f64(self.pcg.share());
             self.servers.insert(entry.server.clone(), server);
         }
         // One that is gone is kept until another takes its number: what it bore tells of the next.
@@ -438,7 +442,7 @@
     /// Of the dialogues that wait and have a server, the one of highest gain is launched, the newest first:
     /// where room is short the oldest is about to leave or to stand too late.
     fn launch_the_best(&mut self, out: &mut dyn Signalling) -> bool {
-        let warm = self.borne_by_the_warm();
+        let warm = self.least_borne_by_the_warm();
         if !self.servers.values().any(|s| self.qualifies(s, 0.0, warm)) {
             return false;
         }
@@ -495,11 +499,10 @@
         dialogue.promised.min(dialogue.answer_by).saturating_sub(usual)
     }
 
-    /// Answers a second that a warm server has borne from this proxy: what the others send scales alike.
-    fn borne_by_the_warm(&self) -> f64 {
+    /// The least answers a second that a warm server has borne from this proxy: the others' scale alike.
+    fn least_borne_by_the_warm(&self) -> f64 {
         let warm = self.servers.values().filter(|s| s.cold_level(self.now, &self.figures).is_none());
-        let (sum, count) = warm.fold((0.0, 0.0), |(sum, count), s| (sum + s.borne, count + 1.0));
-        sum / f64::max(count, 1.0)
+        warm.map(|s| s.borne).fold(f64::INFINITY, f64::min)
     }
 
     /// Room is short only where tenants together ask for about their quotas or more; then one whose part of
@@ -544,6 +547,7 @@
             out: Vec::new(),
             limit: FIRST_LIMIT,
             cut_at: Duration::ZERO,
+            opens_at: Duration::ZERO,
             last_launch: Duration::ZERO,
             last_sign: now,
             trial_at: None,
@@ -685,16 +689,22 @@
         (warmed < 1.0).then_some(figures.cold_share + (1.0 - figures.cold_share) * warmed)
     }
 
+    /// Between launches to a cold server. What it bears is known from its forerunner, else taken to be the
+    /// least that a warm one has borne; and what it answers now it can do at least.
+    fn cold_gap(&self, now: Duration, figures: &Figures, warm: f64) -> Duration {
+        let Some(level) = self.cold_level(now, figures) else { return Duration::ZERO };
+        let bears = if self.borne > 0.0 { self.borne } else { warm };
+        let rate = (bears * level).max(self.rate) * figures.cold_multiple;
+        Duration::from_secs_f64(1.0 / rate.max(LOWEST_RATE))
+    }
+
     /// The earliest moment that its trial, a limit below 1 or its cold budget leaves for a launch.
     fn next_launch(&self, figures: &Figures, warm: f64) -> Duration {
         let mut gap = Duration::ZERO;
         if self.limit < 1.0 {
             gap = self.usual.div_f64(self.limit);
         }
-        if let Some(level) = self.cold_level(self.last_launch, figures) {
-            let rate = (warm.max(self.borne) * level).max(self.rate) * figures.cold_multiple;
-            gap = gap.max(Duration::from_secs_f64(1.0 / rate.max(LOWEST_RATE)));
-        }
-        self.trial_at.unwrap_or_default().max(self.last_launch + gap)
+        gap = gap.max(self.cold_gap(self.last_launch, figures, warm));
+        self.trial_at.unwrap_or_default().max(self.opens_at).max(self.last_launch + gap)
     }
 }
