--- a/src/brain.rs
+++ b/src/brain.rs
@@ -502,7 +502,7 @@
     /// The least answers a second that a warm server has borne from this proxy: the others' scale alike.
     fn least_borne_by_the_warm(&self) -> f64 {
         let warm = self.servers.values().filter(|s| s.cold_level(self.now, &self.figures).is_none());
-        warm.map(|s| s.borne).fold(f64::INFINITY, f64::min)
+        warm.map(|s| s.borne).min_by(f64::total_cmp).unwrap_or_default()
     }
 
     /// Room is short only where tenants together ask for about their quotas or more; then one whose part of
@@ -619,9 +619,12 @@
         self.spread = self.spread.mul_f64(1.0 - NEWEST) + wait.abs_diff(self.usual).mul_f64(NEWEST);
         self.usual = self.usual.mul_f64(1.0 - NEWEST) + wait.mul_f64(NEWEST);
         let since = (now - self.counted_at).as_secs_f64();
-        let span = (now - self.known_since).as_secs_f64().clamp(1.0, RATE_SPAN);
+        let known = (now - self.known_since).as_secs_f64();
+        let span = known.clamp(1.0, RATE_SPAN);
         self.rate = self.rate * (-since / span).exp() + 1.0 / span;
-        self.borne = (self.borne * (-since / BORNE_SPAN).exp()).max(self.rate);
+        // The first few answers may be a chance peak, which a cold budget must not be built on.
+        let sure = if known < RATE_SPAN / 2.0 { 0.0 } else { self.rate };
+        self.borne = (self.borne * (-since / BORNE_SPAN).exp()).max(sure);
         self.counted_at = now;
         if wait <= ease {
             self.doubt = 1;
@@ -694,7 +697,8 @@
     fn cold_gap(&self, now: Duration, figures: &Figures, warm: f64) -> Duration {
         let Some(level) = self.cold_level(now, figures) else { return Duration::ZERO };
         let bears = if self.borne > 0.0 { self.borne } else { warm };
-        let rate = (bears * level).max(self.rate) * figures.cold_multiple;
+        let sure = ((self.counted_at - self.known_since).as_secs_f64() / RATE_SPAN).min(1.0);
+        let rate = (bears * level).max(self.rate * sure) * figures.cold_multiple;
         Duration::from_secs_f64(1.0 / rate.max(LOWEST_RATE))
     }
 
