--- a/src/brain.rs
+++ b/src/brain.rs
@@ -29,9 +29,9 @@
 /// The longest time between two trials of a server set aside.
 const LONGEST_REST: Duration = Duration::from_secs(4);
 /// So many launches in a row that do not reach a server, or that fail there, put it aside; at one that
-/// fails half, eight running are rare.
+/// fails half, sixteen running do not come by chance.
 const MISSES: u32 = 2;
-const FAULTS: u32 = 8;
+const FAULTS: u32 = 16;
 /// A slow server's patience grows to at most this many times the usual.
 const LONGEST_DOUBT: u32 = 4;
 /// A cold server may always be sent so many launches a second.
