--- a/src/brain.rs
+++ b/src/brain.rs
@@ -291,7 +291,7 @@
         self.turn_to(now);
         self.dialogues.remove(id);
         if let Some(server) = self.servers.get_mut(server)
-            && let Some(at) = server.answered(now, id, launch, out)
+            && let Some(at) = server.answered(now, id, launch, &self.figures, out)
         {
             server.learn(now, now - at, self.figures.ease);
         }
@@ -305,7 +305,7 @@
             server.read(&end.report);
             let rest = self.figures.silence;
             if matches!(end.outcome, Outcome::Ended | Outcome::TurnedBack) {
-                server.answered(now, &end.dialogue, end.launch, out);
+                server.answered(now, &end.dialogue, end.launch, &self.figures, out);
             } else if server.take_out(&end.dialogue, end.launch).is_some() {
                 // One failure may be chance, and a server can fail some and serve the rest well; a run of
                 // them is a server down, or one that fails all so quickly that it would draw everything.
@@ -593,7 +593,8 @@
 
     /// It has answered: a sign of life, and to a launch still out the end of any silence.
     fn answered(
-        &mut self, now: Duration, id: &DialogueId, launch: LaunchNo, out: &mut dyn Signalling,
+        &mut self, now: Duration, id: &DialogueId, launch: LaunchNo, figures: &Figures,
+        out: &mut dyn Signalling,
     ) -> Option<Duration> {
         self.last_sign = now;
         let at = self.take_out(id, launch)?;
@@ -602,7 +603,7 @@
         }
         if self.trial_at.take().is_some() {
             self.limit = 1.0;
-            if self.misses >= MISSES {
+            if self.misses >= MISSES && self.cold_level(now, figures).is_none() {
                 // It was down and has started before the list tells: cold from here.
                 self.started = Some(now);
             }
