--- a/src/brain.rs
+++ b/src/brain.rs
@@ -25,7 +25,7 @@
 const FIRST_LIMIT: f64 = 2.0;
 const LOWEST_LIMIT: f64 = 0.25;
 /// The part of a cold server's budget that is used: the rest is for chance and for unequal proxies.
-const COLD_MARGIN: f64 = 0.7;
+const COLD_MARGIN: f64 = 0.85;
 /// The longest time between two trials of a server set aside.
 const LONGEST_REST: Duration = Duration::from_secs(4);
 /// So many launches in a row that do not reach a server, or that fail there, put it aside; at one that
