--- a/src/brain.rs
+++ b/src/brain.rs
@@ -9,9 +9,9 @@
 //! 1. Limit: set-ups unanswered at a server, plus one for a full round in ease, cut by a share on strain.
 //! 2. Waiting room: a dialogue that finds no server waits here, higher gain first, while it has hope.
 //! 3. Quotas: of a tenant that asks more than its part, the excess counts little and so comes last.
-//! 4. Silence: a server that answers nothing is set aside; one trial dialogue brings it back.
+//! 4. Silence: a server that answers nothing, is out of reach or fails all is set aside until a trial.
 //! 5. Lost launches: one that later ones overtake is called off and goes elsewhere.
-//! 6. Cold budget: launches to a server just started are spaced by what warm servers bear.
+//! 6. Cold budget: launches to a server just started are spaced by what its forerunner bore.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
