--- a/crates/drill/src/start.rs
+++ b/crates/drill/src/start.rs
@@ -1,5 +1,6 @@
 //! The settings that an instance is handed at its start, as the wire words them.
 
+use std::num::NonZeroU32;
 use std::time::Duration;
 
 use anyhow::{Context, Result};
@@ -15,6 +16,7 @@
     #[serde(default)]
     client_habits: Habits,
     domain: Domain,
+    instances: NonZeroU32,
     limits: Limits,
     #[serde(default)]
     over_share_worth: f64,
@@ -96,6 +98,7 @@
     }
     let longest_return = if limits.retry_after { limits.max_retry_after_ms } else { 0.0 };
     Ok(RoutePlan {
+        proxies: sheet.instances.get(),
         products,
         tenants: sheet.tenants.iter().map(|t| Tenant { quota: t.quota_rps }).collect(),
         over_quota_share: sheet.over_share_worth,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -21,9 +21,12 @@
 
 /// A limit is cut to this share of itself.
 const CUT: f64 = 0.7;
-/// The limit of a server not yet known, and the lowest one; below 1 launches are spaced.
-const FIRST_LIMIT: f64 = 2.0;
-const LOWEST_LIMIT: f64 = 0.25;
+/// The lowest limit; below 1 a limit is the share of the dialogues, drawn by lot, for which a server qualifies.
+const LOWEST_LIMIT: f64 = 0.05;
+/// What all proxies together may add to the set-ups in turn at a server that is in ease.
+const HEADROOM: f64 = 8.0;
+/// A share of the dialogues grows to the whole in this time without a launch, so that it is tried again.
+const LONGEST_SHARE: f64 = 30.0;
 /// The part of a cold server's budget that is used: the rest is for chance and for unequal proxies.
 const COLD_MARGIN: f64 = 0.85;
 /// The longest time between two trials of a server set aside.
@@ -50,6 +53,10 @@
     over_quota_share: f64,
     tick: Duration,
     release: Duration,
+    /// This proxy's part of the headroom: with many proxies what each may add counts as many times.
+    headroom: f64,
+    /// The least gain of a product: what the lots are measured by.
+    least_gain: f64,
     /// A wait above this is strain and cuts a limit.
     ease: Duration,
     /// Launches out and no sign of life for this long is silence, however short the usual wait.
@@ -117,6 +124,8 @@
     promised: Duration,
     answer_by: Duration,
     gain: f64,
+    /// Chance over gain: where a server takes a share of the dialogues, it takes those of the lowest lots.
+    lot: f64,
     turned_back: u32,
     launches: u32,
     /// Where its launch is out, and whether that was called off.
@@ -162,6 +171,7 @@
     pub fn new(plan: RoutePlan, seed: u64) -> Self {
         let tightest = plan.products.iter().map(|p| p.promised).min().unwrap_or(Duration::MAX);
         let resend = if plan.resend.is_zero() { Duration::MAX } else { plan.resend };
+        let least_gain = plan.products.iter().map(|p| p.gain).fold(f64::INFINITY, f64::min);
         let quotas: f64 = plan.tenants.iter().map(|t| t.quota).sum();
         let demand = |t: &Tenant| Demand { quota: t.quota / quotas, asked: t.quota / quotas };
         let demands = plan.tenants.iter().map(demand).collect();
@@ -170,6 +180,8 @@
             products: plan.products,
             tick: plan.tick,
             release: plan.release,
+            headroom: (HEADROOM / f64::from(plan.proxies)).min(1.0),
+            least_gain,
             ease: (tightest / 3).min(resend / 5 * 4),
             silence: tightest / 2,
             max_launches: plan.max_launches,
@@ -241,6 +253,8 @@
         let first_dialled = before.map_or(now, |(first, _)| first);
         let unknown = arrival.again && !arrival.came_back && before.is_none();
         let late = unknown || now >= first_dialled + product.promised;
+        let gain = product.gain * part * if late { product.late_share } else { 1.0 };
+        let lot = self.pcg.share() * self.figures.least_gain / gain;
         let dialogue = Dialogue {
             product: arrival.product,
             key: arrival.key,
@@ -249,7 +263,8 @@
             width: arrival.width,
             promised: product.promised + if late { now } else { first_dialled },
             answer_by: arrival.cut_off.saturating_sub(self.figures.tick * 2),
-            gain: product.gain * part * if late { product.late_share } else { 1.0 },
+            gain,
+            lot,
             turned_back: 0,
             launches: 0,
             at: None,
@@ -293,7 +308,7 @@
         if let Some(server) = self.servers.get_mut(server)
             && let Some(at) = server.answered(now, id, launch, &self.figures, out)
         {
-            server.learn(now, now - at, self.figures.ease);
+            server.learn(now, now - at, &self.figures);
         }
         self.settle(out);
     }
@@ -444,7 +459,7 @@
     /// where room is short the oldest is about to leave or to stand too late.
     fn launch_the_best(&mut self, out: &mut dyn Signalling) -> bool {
         let warm = self.least_borne_by_the_warm();
-        if !self.servers.values().any(|s| self.qualifies(s, 0.0, warm)) {
+        if !self.servers.values().any(|s| self.qualifies(s, 0.0, 0.0, warm)) {
             return false;
         }
         let waiting = self.dialogues.iter().filter(|(_, d)| d.at.is_none() && self.now >= d.not_before);
@@ -469,7 +484,8 @@
     fn choose(&self, dialogue: &Dialogue, warm: f64) -> Option<ServerId> {
         let able = self.figures.products[dialogue.product.0].servers.as_ref();
         let qualifying = self.servers.iter().filter(|(_, s)| {
-            able.is_none_or(|able| able.contains(&s.number)) && self.qualifies(s, dialogue.width, warm)
+            able.is_none_or(|able| able.contains(&s.number))
+                && self.qualifies(s, dialogue.width, dialogue.lot, warm)
         });
         let rank = |(id, s): &(&ServerId, &Server)| {
             let shunned = dialogue.shunned.as_ref() == Some(*id);
@@ -479,11 +495,13 @@
         best.map(|(id, _)| id.clone())
     }
 
-    fn qualifies(&self, server: &Server, width: f64, warm: f64) -> bool {
+    fn qualifies(&self, server: &Server, width: f64, lot: f64, warm: f64) -> bool {
         let room = if server.trial_at.is_some() { 1.0 } else { server.limit.max(1.0) };
+        let unused = (self.now - server.last_launch).as_secs_f64() / LONGEST_SHARE;
         server.listed == Listed::Active
             && server.estimate() >= width
             && (server.in_turn().count() + 1) as f64 <= room
+            && (server.limit >= 1.0 || lot < server.limit + unused)
             && self.now >= server.next_launch(&self.figures, warm)
     }
 
@@ -546,7 +564,7 @@
             told_free: None,
             placed_since: 0.0,
             out: Vec::new(),
-            limit: FIRST_LIMIT,
+            limit: 1.0,
             cut_at: Duration::ZERO,
             opens_at: Duration::ZERO,
             last_launch: Duration::ZERO,
@@ -614,7 +632,7 @@
     }
 
     /// A dialogue stood after this wait.
-    fn learn(&mut self, now: Duration, wait: Duration, ease: Duration) {
+    fn learn(&mut self, now: Duration, wait: Duration, figures: &Figures) {
         if self.usual.is_zero() {
             (self.usual, self.spread) = (wait, wait / 2);
         }
@@ -628,10 +646,12 @@
         let sure = if known < RATE_SPAN / 2.0 { 0.0 } else { self.rate };
         self.borne = (self.borne * (-since / BORNE_SPAN).exp()).max(sure);
         self.counted_at = now;
-        if wait <= ease {
+        if wait <= figures.ease {
             self.doubt = 1;
-            if (self.in_turn().count() + 2) as f64 > self.limit {
-                self.limit += self.limit.min(1.0 / self.limit);
+            // Below 1 an answer in ease takes one cut back; above, a full round adds one, within the headroom.
+            let most = (self.in_turn().count() + 1) as f64 + figures.headroom;
+            if self.limit < most {
+                self.limit = (self.limit / CUT).min(self.limit + 1.0 / self.limit).min(most);
             }
         } else if now - wait >= self.cut_at {
             self.cut(now);
@@ -704,13 +724,9 @@
         Duration::from_secs_f64(1.0 / rate.max(LOWEST_RATE))
     }
 
-    /// The earliest moment that its trial, a limit below 1 or its cold budget leaves for a launch.
+    /// The earliest moment that its trial or its cold budget leaves for a launch.
     fn next_launch(&self, figures: &Figures, warm: f64) -> Duration {
-        let mut gap = Duration::ZERO;
-        if self.limit < 1.0 {
-            gap = self.usual.div_f64(self.limit);
-        }
-        gap = gap.max(self.cold_gap(self.last_launch, figures, warm));
+        let gap = self.cold_gap(self.last_launch, figures, warm);
         self.trial_at.unwrap_or_default().max(self.opens_at).max(self.last_launch + gap)
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -37,6 +37,8 @@
 
 /// What an edge proxy reads when it starts.
 pub struct RoutePlan {
+    /// How many edge proxies send to the same core servers, this one included.
+    pub proxies: u32,
     pub products: Vec<Product>,
     pub tenants: Vec<Tenant>,
     /// The part of its gain that a dialogue keeps beyond its tenant's quota.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -75,6 +75,7 @@
         servers: None,
     };
     let plan = RoutePlan {
+        proxies: 4,
         products: vec![product(1500, 1.0), product(900, 6.0)],
         tenants: vec![Tenant { quota: 30.0 }, Tenant { quota: 10.0 }],
         over_quota_share: 0.2,
