Strain closes a server until what waits beyond the ease is worked off

Own answers come too seldom at full size to cut a limit in time; the wait itself says how long to stay away.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -224,7 +224,7 @@
             // New, or a new start under the old id: nothing learned holds but what such a server bears.
             let same = self.servers.values().filter(|s| s.number == entry.number);
             let borne = same.map(|s| s.borne).fold(0.0, f64::max);
-            let mut server = Server::new(entry, now, borne, self.pcg.draw());
+            let mut server = Server::new(entry, now, borne, self.figures.headroom, self.pcg.draw());
             if let Some(before) = self.servers.remove(&entry.server) {
                 server.out = before.out;
             }
@@ -308,7 +308,7 @@
         if let Some(server) = self.servers.get_mut(server)
             && let Some(at) = server.answered(now, id, launch, &self.figures, out)
         {
-            server.learn(now, now - at, &self.figures);
+            server.learn(now, now - at, &self.figures, self.pcg.share());
         }
         self.settle(out);
     }
@@ -342,7 +342,7 @@
                 server.told_free = Some(0.0);
             }
             if end.outcome == Outcome::TurnedBack {
-                server.cut(now);
+                server.cut(now, self.figures.silence * 2, self.pcg.share());
             }
         }
         if end.closed {
@@ -555,7 +555,7 @@
 }
 
 impl Server {
-    fn new(entry: &ListEntry, now: Duration, borne: f64, lot: u32) -> Self {
+    fn new(entry: &ListEntry, now: Duration, borne: f64, headroom: f64, lot: u32) -> Self {
         Self {
             number: entry.number,
             listed: entry.listed,
@@ -564,7 +564,7 @@
             told_free: None,
             placed_since: 0.0,
             out: Vec::new(),
-            limit: 1.0,
+            limit: 1.0 + headroom,
             cut_at: Duration::ZERO,
             opens_at: Duration::ZERO,
             last_launch: Duration::ZERO,
@@ -632,7 +632,7 @@
     }
 
     /// A dialogue stood after this wait.
-    fn learn(&mut self, now: Duration, wait: Duration, figures: &Figures) {
+    fn learn(&mut self, now: Duration, wait: Duration, figures: &Figures, chance: f64) {
         if self.usual.is_zero() {
             (self.usual, self.spread) = (wait, wait / 2);
         }
@@ -654,13 +654,16 @@
                 self.limit = (self.limit / CUT).min(self.limit + 1.0 / self.limit).min(most);
             }
         } else if now - wait >= self.cut_at {
-            self.cut(now);
+            self.cut(now, wait - figures.ease, chance);
         }
     }
 
-    fn cut(&mut self, now: Duration) {
+    /// Strain: the limit falls, and what waits there beyond the ease is left time to be worked off. Others
+    /// see the same, so chance keeps them from coming back as one.
+    fn cut(&mut self, now: Duration, beyond: Duration, chance: f64) {
         self.limit = (self.limit * CUT).max(LOWEST_LIMIT);
         self.cut_at = now;
+        self.opens_at = self.opens_at.max(now + beyond.mul_f64(0.5 + chance));
     }
 
     /// The launches that are still in turn there, oldest first.
