--- a/crates/drill/src/start.rs
+++ b/crates/drill/src/start.rs
@@ -49,6 +49,8 @@
     #[serde(default)]
     class_cells: Vec<Vec<i64>>,
     #[serde(default)]
+    class_hold_ms: Vec<f64>,
+    #[serde(default)]
     release_guard_ms: f64,
     #[serde(default)]
     resend_ms: f64,
@@ -87,6 +89,7 @@
     for (place, category) in sheet.categories.iter().enumerate() {
         products.push(Product {
             promised: millis("promiseMs", category.promise_ms)?,
+            lasts: millis("classHoldMs", domain.class_hold_ms.get(place).copied().unwrap_or_default())?,
             patience: millis("hardLimitMs", category.hard_limit_ms)?,
             gain: category.worth,
             late_share: category.late_share,
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -242,6 +242,7 @@
         let told = Some(value).filter(|v| *v >= 0.0 && v.is_finite());
         match name {
             "spare" => report.free_lines = told,
+            "total" => report.lines = told,
             "load_share" => report.busy = told,
             "depth" => report.queue = told,
             "mean_ms" => report.wait = told.map(|v| millis(name, v)).transpose()?,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -57,6 +57,8 @@
     headroom: f64,
     /// The least gain of a product: what the lots are measured by.
     least_gain: f64,
+    /// How long a dialogue lasts, over the products.
+    lasts: f64,
     /// A wait above this is strain and cuts a limit.
     ease: Duration,
     /// Launches out and no sign of life for this long is silence, however short the usual wait.
@@ -175,7 +177,10 @@
         let quotas: f64 = plan.tenants.iter().map(|t| t.quota).sum();
         let demand = |t: &Tenant| Demand { quota: t.quota / quotas, asked: t.quota / quotas };
         let demands = plan.tenants.iter().map(demand).collect();
+        let lasts: f64 = plan.products.iter().map(|p| p.lasts.as_secs_f64()).sum();
+        let lasts = lasts / plan.products.len().max(1) as f64;
         let figures = Figures {
+            lasts,
             over_quota_share: plan.over_quota_share,
             products: plan.products,
             tick: plan.tick,
@@ -290,7 +295,7 @@
     ) {
         self.turn_to(now);
         if let Some(server) = self.servers.get_mut(id) {
-            server.read(report);
+            server.read(now, report, &self.figures, self.pcg.share());
             if asked {
                 server.last_sign = now;
             }
@@ -317,7 +322,7 @@
     pub fn ended(&mut self, now: Duration, end: LaunchEnd, out: &mut dyn Signalling) {
         self.turn_to(now);
         if let Some(server) = self.servers.get_mut(&end.server) {
-            server.read(&end.report);
+            server.read(now, &end.report, &self.figures, self.pcg.share());
             let rest = self.figures.silence;
             if matches!(end.outcome, Outcome::Ended | Outcome::TurnedBack) {
                 server.answered(now, &end.dialogue, end.launch, &self.figures, out);
@@ -588,10 +593,18 @@
         self.told_free.map_or(f64::INFINITY, |free| free - self.placed_since)
     }
 
-    fn read(&mut self, report: &LoadReport) {
+    fn read(&mut self, now: Duration, report: &LoadReport, figures: &Figures, chance: f64) {
         if let Some(free) = report.free_lines {
             (self.told_free, self.placed_since) = (Some(free), 0.0);
         }
+        // A queue is as long as the time it takes at the told rate, else at the rate at which the lines in use
+        // have come there.
+        let placed = report.lines.zip(report.free_lines).map(|(all, free)| (all - free) / figures.lasts);
+        let rate = report.rate.or(placed).filter(|rate| *rate > 0.0);
+        let queue = report.queue.zip(rate).map(|(queue, rate)| queue / rate);
+        if let Some(wait) = report.wait.map(|wait| wait.as_secs_f64()).or(queue) {
+            self.seen(now, Duration::from_secs_f64(wait.min(60.0)), figures, chance);
+        }
     }
 
     fn launched(&mut self, now: Duration, id: &DialogueId, dialogue: &Dialogue) {
@@ -648,12 +661,21 @@
         self.counted_at = now;
         if wait <= figures.ease {
             self.doubt = 1;
+        }
+        if wait <= figures.ease || now - wait >= self.cut_at {
+            self.seen(now, wait, figures, chance);
+        }
+    }
+
+    /// A wait there, met or told: in ease the limit grows, else it falls.
+    fn seen(&mut self, now: Duration, wait: Duration, figures: &Figures, chance: f64) {
+        if wait <= figures.ease {
             // Below 1 an answer in ease takes one cut back; above, a full round adds one, within the headroom.
             let most = (self.in_turn().count() + 1) as f64 + figures.headroom;
             if self.limit < most {
                 self.limit = (self.limit / CUT).min(self.limit + 1.0 / self.limit).min(most);
             }
-        } else if now - wait >= self.cut_at {
+        } else if now >= self.opens_at {
             self.cut(now, wait - figures.ease, chance);
         }
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -65,6 +65,8 @@
 
 pub struct Product {
     pub promised: Duration,
+    /// How long a dialogue that stands lasts, on average.
+    pub lasts: Duration,
     /// How long a caller keeps trying, from the first try.
     pub patience: Duration,
     pub gain: f64,
@@ -116,6 +118,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct LoadReport {
     pub free_lines: Option<f64>,
+    /// All its lines.
+    pub lines: Option<f64>,
     /// Share of its processor that is busy.
     pub busy: Option<f64>,
     /// Set-ups waiting at its processor.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -69,6 +69,7 @@
 fn night(servers: &str) -> Night {
     let product = |promised, gain| Product {
         promised: ms(promised),
+        lasts: ms(8000),
         patience: ms(9000),
         gain,
         late_share: 0.25,
