Cold budget by the lines in use told, shared by the proxies

The greatest of few own answers was mostly chance; lines in use over the mean length tell what all proxies place.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -37,15 +37,14 @@
 const FAULTS: u32 = 16;
 /// A slow server's patience grows to at most this many times the usual.
 const LONGEST_DOUBT: u32 = 4;
-/// A cold server may always be sent so many launches a second.
-const LOWEST_RATE: f64 = 0.1;
+/// A cold server of which nothing is known may be sent so many launches a second, by all proxies together.
+const LOWEST_RATE: f64 = 5.0;
 /// Weight of the newest answer in a smoothed figure.
 const NEWEST: f64 = 0.2;
 /// Weight of the newest dialogue in the tenants' parts.
 const NEWEST_DIALOGUE: f64 = 0.01;
-/// Answers a second are smoothed over this time at most, in seconds, and the most borne fades over the other.
-const RATE_SPAN: f64 = 5.0;
-const BORNE_SPAN: f64 = 60.0;
+/// What a server bears is smoothed over this time, in seconds: longer than a surge, shorter than a day.
+const BORNE_SPAN: f64 = 20.0;
 
 /// The figures that decisions use, made from the route plan at start.
 struct Figures {
@@ -53,6 +52,7 @@
     over_quota_share: f64,
     tick: Duration,
     release: Duration,
+    proxies: f64,
     /// This proxy's part of the headroom: with many proxies what each may add counts as many times.
     headroom: f64,
     /// The least gain of a product: what the lots are measured by.
@@ -101,11 +101,10 @@
     /// Smoothed time to an answer, and its spread.
     usual: Duration,
     spread: Duration,
-    /// Smoothed answers a second when last counted, and the most borne, its forerunner's included.
-    rate: f64,
-    counted_at: Duration,
-    known_since: Duration,
+    /// Dialogues a second that all proxies placed there while it was warm, smoothed, its forerunner's included,
+    /// and when that was last reckoned.
     borne: f64,
+    reckoned_at: Duration,
 }
 
 struct Out {
@@ -185,6 +184,7 @@
             products: plan.products,
             tick: plan.tick,
             release: plan.release,
+            proxies: f64::from(plan.proxies),
             headroom: (HEADROOM / f64::from(plan.proxies)).min(1.0),
             least_gain,
             ease: (tightest / 3).min(resend / 5 * 4),
@@ -523,7 +523,7 @@
         dialogue.promised.min(dialogue.answer_by).saturating_sub(usual)
     }
 
-    /// The least answers a second that a warm server has borne from this proxy: the others' scale alike.
+    /// The least dialogues a second that a warm server has borne from all proxies.
     fn least_borne_by_the_warm(&self) -> f64 {
         let warm = self.servers.values().filter(|s| s.cold_level(self.now, &self.figures).is_none());
         warm.map(|s| s.borne).min_by(f64::total_cmp).unwrap_or_default()
@@ -581,10 +581,8 @@
             doubt: 2,
             usual: Duration::ZERO,
             spread: Duration::ZERO,
-            rate: 0.0,
-            counted_at: now,
-            known_since: now,
             borne,
+            reckoned_at: now,
         }
     }
 
@@ -600,6 +598,13 @@
         // A queue is as long as the time it takes at the told rate, else at the rate at which the lines in use
         // have come there.
         let placed = report.lines.zip(report.free_lines).map(|(all, free)| (all - free) / figures.lasts);
+        if let Some(placed) = placed
+            && self.cold_level(now, figures).is_none()
+        {
+            let since = (now - self.reckoned_at).as_secs_f64();
+            self.borne += (placed - self.borne) * (1.0 - (-since / BORNE_SPAN).exp());
+            self.reckoned_at = now;
+        }
         let rate = report.rate.or(placed).filter(|rate| *rate > 0.0);
         let queue = report.queue.zip(rate).map(|(queue, rate)| queue / rate);
         if let Some(wait) = report.wait.map(|wait| wait.as_secs_f64()).or(queue) {
@@ -651,14 +656,6 @@
         }
         self.spread = self.spread.mul_f64(1.0 - NEWEST) + wait.abs_diff(self.usual).mul_f64(NEWEST);
         self.usual = self.usual.mul_f64(1.0 - NEWEST) + wait.mul_f64(NEWEST);
-        let since = (now - self.counted_at).as_secs_f64();
-        let known = (now - self.known_since).as_secs_f64();
-        let span = known.clamp(1.0, RATE_SPAN);
-        self.rate = self.rate * (-since / span).exp() + 1.0 / span;
-        // The first few answers may be a chance peak, which a cold budget must not be built on.
-        let sure = if known < RATE_SPAN / 2.0 { 0.0 } else { self.rate };
-        self.borne = (self.borne * (-since / BORNE_SPAN).exp()).max(sure);
-        self.counted_at = now;
         if wait <= figures.ease {
             self.doubt = 1;
         }
@@ -739,14 +736,13 @@
         (warmed < 1.0).then_some(figures.cold_share + (1.0 - figures.cold_share) * warmed)
     }
 
-    /// Between launches to a cold server. What it bears is known from its forerunner, else taken to be the
-    /// least that a warm one has borne; and what it answers now it can do at least.
+    /// Between launches of one proxy to a cold server. What it bears is known from its forerunner, else taken
+    /// to be the least that a warm one has borne.
     fn cold_gap(&self, now: Duration, figures: &Figures, warm: f64) -> Duration {
         let Some(level) = self.cold_level(now, figures) else { return Duration::ZERO };
         let bears = if self.borne > 0.0 { self.borne } else { warm };
-        let sure = ((self.counted_at - self.known_since).as_secs_f64() / RATE_SPAN).min(1.0);
-        let rate = (bears * level).max(self.rate * sure) * figures.cold_multiple;
-        Duration::from_secs_f64(1.0 / rate.max(LOWEST_RATE))
+        let rate = (bears * level * figures.cold_multiple).max(LOWEST_RATE);
+        Duration::from_secs_f64(figures.proxies / rate)
     }
 
     /// The earliest moment that its trial or its cold budget leaves for a launch.
