--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -110,7 +110,7 @@
                     dialogue: dialogue(&fields)?,
                     launch: LaunchNo(fields.whole("n")?),
                     server: server(&fields)?,
-                    outcome: outcome(fields.need("outcome")?)?,
+                    outcome: launch_outcome(&fields)?,
                     closed: fields.flag("noMore")?,
                     report: load_report(&fields)?,
                 };
@@ -218,6 +218,15 @@
     Ok(ServerId(Arc::from(fields.need("server")?)))
 }
 
+/// A turn-back bears its cause in the low four bits of the code; 1 is no free line.
+fn launch_outcome(fields: &Fields) -> Result<Outcome> {
+    let code: u32 = fields.get("clearCode").map_or(Ok(0), |text| parse("clearCode", text))?;
+    Ok(match outcome(fields.need("outcome")?)? {
+        Outcome::TurnedBack if code % 16 == 1 => Outcome::LinesTaken,
+        other => other,
+    })
+}
+
 fn outcome(word: &str) -> Result<Outcome> {
     Ok(match word {
         "delivered" => Outcome::Ended,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -324,7 +324,7 @@
         if let Some(server) = self.servers.get_mut(&end.server) {
             server.read(now, &end.report, &self.figures, self.pcg.share());
             let rest = self.figures.silence;
-            if matches!(end.outcome, Outcome::Ended | Outcome::TurnedBack) {
+            if matches!(end.outcome, Outcome::Ended | Outcome::LinesTaken | Outcome::TurnedBack) {
                 server.answered(now, &end.dialogue, end.launch, &self.figures, out);
             } else if server.take_out(&end.dialogue, end.launch).is_some() {
                 // One failure may be chance, and a server can fail some and serve the rest well; a run of
@@ -343,7 +343,7 @@
                 }
             }
             // The design: full is zero free until its next report.
-            if matches!(end.outcome, Outcome::TurnedBack | Outcome::NotSent) {
+            if matches!(end.outcome, Outcome::LinesTaken | Outcome::TurnedBack | Outcome::NotSent) {
                 server.told_free = Some(0.0);
             }
             if end.outcome == Outcome::TurnedBack {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -134,7 +134,9 @@
 pub enum Outcome {
     Ended,
     Fault,
-    /// No line free there, or too long a wait at its processor.
+    /// No line free there.
+    LinesTaken,
+    /// Turned back for another cause: too long a wait at its processor.
     TurnedBack,
     TimedOut,
     Unreachable,
