--- a/src/brain.rs
+++ b/src/brain.rs
@@ -346,8 +346,10 @@
             if matches!(end.outcome, Outcome::LinesTaken | Outcome::TurnedBack | Outcome::NotSent) {
                 server.told_free = Some(0.0);
             }
-            if end.outcome == Outcome::TurnedBack {
-                server.cut(now, self.figures.silence * 2, self.pcg.share());
+            match end.outcome {
+                Outcome::TurnedBack => server.cut(now, self.figures.silence * 2, self.pcg.share()),
+                Outcome::LinesTaken => server.cut(now, Duration::ZERO, self.pcg.share()),
+                _ => {}
             }
         }
         if end.closed {
