--- a/src/brain.rs
+++ b/src/brain.rs
@@ -43,8 +43,8 @@
 const NEWEST: f64 = 0.2;
 /// Weight of the newest dialogue in the tenants' parts.
 const NEWEST_DIALOGUE: f64 = 0.01;
-/// What a server bears is smoothed over this time, in seconds: longer than a surge, shorter than a day.
-const BORNE_SPAN: f64 = 20.0;
+/// The most that a server has borne fades over this time, in seconds.
+const BORNE_SPAN: f64 = 60.0;
 
 /// The figures that decisions use, made from the route plan at start.
 struct Figures {
@@ -101,7 +101,7 @@
     /// Smoothed time to an answer, and its spread.
     usual: Duration,
     spread: Duration,
-    /// Dialogues a second that all proxies placed there while it was warm, smoothed, its forerunner's included,
+    /// The most dialogues a second that all proxies placed there while it was warm, its forerunner's included,
     /// and when that was last reckoned.
     borne: f64,
     reckoned_at: Duration,
@@ -604,7 +604,7 @@
             && self.cold_level(now, figures).is_none()
         {
             let since = (now - self.reckoned_at).as_secs_f64();
-            self.borne += (placed - self.borne) * (1.0 - (-since / BORNE_SPAN).exp());
+            self.borne = (self.borne * (-since / BORNE_SPAN).exp()).max(placed);
             self.reckoned_at = now;
         }
         let rate = report.rate.or(placed).filter(|rate| *rate > 0.0);
