Trials of all proxies together stay under a fifth of what a server bore

Also holds against hung and crashed servers; harms where a small server is well again and few reports tell of it.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -25,8 +25,8 @@
 const LOWEST_LIMIT: f64 = 0.05;
 /// What all proxies together may add to the set-ups in turn at a server that is in ease.
 const HEADROOM: f64 = 8.0;
-/// A share of the dialogues grows to the whole in this time without a launch, so that it is tried again.
-const LONGEST_SHARE: f64 = 30.0;
+/// The part of what a server has borne that all proxies together may spend on trials there.
+const TRIAL_SHARE: f64 = 0.2;
 /// The part of a cold server's budget that is used: the rest is for chance and for unequal proxies.
 const COLD_MARGIN: f64 = 0.85;
 /// The longest time between two trials of a server set aside.
@@ -323,7 +323,7 @@
         self.turn_to(now);
         if let Some(server) = self.servers.get_mut(&end.server) {
             server.read(now, &end.report, &self.figures, self.pcg.share());
-            let rest = self.figures.silence;
+            let chance = self.pcg.share();
             if matches!(end.outcome, Outcome::Ended | Outcome::LinesTaken | Outcome::TurnedBack) {
                 server.answered(now, &end.dialogue, end.launch, &self.figures, out);
             } else if server.take_out(&end.dialogue, end.launch).is_some() {
@@ -337,9 +337,9 @@
                     _ => {}
                 }
                 if server.misses >= MISSES {
-                    server.set_aside(now, rest, "out of reach", &end.server, out);
+                    server.set_aside(now, "out of reach", &end.server, &self.figures, chance, out);
                 } else if server.faults >= FAULTS {
-                    server.set_aside(now, rest, "fails all", &end.server, out);
+                    server.set_aside(now, "fails all", &end.server, &self.figures, chance, out);
                 }
             }
             // The design: full is zero free until its next report.
@@ -441,7 +441,7 @@
             s.trial_at.is_none() && since.is_some_and(|t| self.now >= t + s.patience(&self.figures))
         });
         let Some((id, server)) = silent else { return false };
-        server.set_aside(self.now, self.figures.silence, "silent", id, out);
+        server.set_aside(self.now, "silent", id, &self.figures, self.pcg.share(), out);
         true
     }
 
@@ -478,7 +478,7 @@
         let dialogue = self.dialogues.get_mut(&id).expect("it waits");
         let server = self.servers.get_mut(&server_id).expect("it was chosen");
         dialogue.launches += 1;
-        server.launched(self.now, &id, dialogue);
+        server.launched(self.now, &id, dialogue, &self.figures, self.pcg.share());
         let time_out = (dialogue.answer_by + self.figures.tick * 2).saturating_sub(self.now);
         out.launch(&id, &server_id, time_out);
         dialogue.at = Some(server_id);
@@ -504,11 +504,11 @@
 
     fn qualifies(&self, server: &Server, width: f64, lot: f64, warm: f64) -> bool {
         let room = if server.trial_at.is_some() { 1.0 } else { server.limit.max(1.0) };
-        let unused = (self.now - server.last_launch).as_secs_f64() / LONGEST_SHARE;
+        let tried = server.last_launch + server.trial_gap(&self.figures);
         server.listed == Listed::Active
             && server.estimate() >= width
             && (server.in_turn().count() + 1) as f64 <= room
-            && (server.limit >= 1.0 || lot < server.limit + unused)
+            && (server.limit >= 1.0 || lot < server.limit || self.now >= tried)
             && self.now >= server.next_launch(&self.figures, warm)
     }
 
@@ -614,13 +614,15 @@
         }
     }
 
-    fn launched(&mut self, now: Duration, id: &DialogueId, dialogue: &Dialogue) {
+    fn launched(
+        &mut self, now: Duration, id: &DialogueId, dialogue: &Dialogue, figures: &Figures, chance: f64,
+    ) {
         self.placed_since += dialogue.width;
         self.last_launch = now;
         self.out.push(Out { dialogue: id.clone(), launch: dialogue.last_launch(), at: now, overtaken: None });
         if self.trial_at.is_some() {
             self.rest = (self.rest * 2).min(LONGEST_REST);
-            self.trial_at = Some(now + self.rest);
+            self.trial_at = Some(now + self.rest.max(self.trial_gap(figures).mul_f64(0.5 + chance)));
         }
     }
 
@@ -717,10 +719,12 @@
     }
 
     fn set_aside(
-        &mut self, now: Duration, rest: Duration, why: &str, id: &ServerId, out: &mut dyn Signalling,
+        &mut self, now: Duration, why: &str, id: &ServerId, figures: &Figures, chance: f64,
+        out: &mut dyn Signalling,
     ) {
         if self.trial_at.is_none() {
-            (self.trial_at, self.rest) = (Some(now + rest), rest);
+            self.rest = figures.silence;
+            self.trial_at = Some(now + self.rest.max(self.trial_gap(figures).mul_f64(chance)));
             self.doubt = (self.doubt * 2).min(LONGEST_DOUBT);
             let quiet = now.saturating_sub(self.last_sign);
             out.log(&format!(
@@ -747,6 +751,11 @@
         Duration::from_secs_f64(figures.proxies / rate)
     }
 
+    /// Between trials of one proxy: with many proxies each tries seldom.
+    fn trial_gap(&self, figures: &Figures) -> Duration {
+        Duration::from_secs_f64(figures.proxies / (TRIAL_SHARE * self.borne.max(LOWEST_RATE)))
+    }
+
     /// The earliest moment that its trial or its cold budget leaves for a launch.
     fn next_launch(&self, figures: &Figures, warm: f64) -> Duration {
         let gap = self.cold_gap(self.last_launch, figures, warm);
