--- a/src/brain.rs
+++ b/src/brain.rs
@@ -27,6 +27,8 @@
 const HEADROOM: f64 = 8.0;
 /// The part of what a server has borne that all proxies together may spend on trials there.
 const TRIAL_SHARE: f64 = 0.2;
+/// The same for dialogues whose first choice is another.
+const OVERFLOW_SHARE: f64 = 2.0;
 /// The part of a cold server's budget that is used: the rest is for chance and for unequal proxies.
 const COLD_MARGIN: f64 = 0.85;
 /// The longest time between two trials of a server set aside.
@@ -89,6 +91,8 @@
     cut_at: Duration,
     opens_at: Duration,
     last_launch: Duration,
+    /// From when it may take another whose first choice is another server.
+    overflow_at: Duration,
     last_sign: Duration,
     /// Set aside: when its next trial may go, and how long after that the one after.
     trial_at: Option<Duration>,
@@ -466,7 +470,7 @@
     /// where room is short the oldest is about to leave or to stand too late.
     fn launch_the_best(&mut self, out: &mut dyn Signalling) -> bool {
         let warm = self.least_borne_by_the_warm();
-        if !self.servers.values().any(|s| self.qualifies(s, 0.0, 0.0, warm)) {
+        if !self.servers.values().any(|s| self.open(s, warm)) {
             return false;
         }
         let waiting = self.dialogues.iter().filter(|(_, d)| d.at.is_none() && self.now >= d.not_before);
@@ -491,8 +495,7 @@
     fn choose(&self, dialogue: &Dialogue, warm: f64) -> Option<ServerId> {
         let able = self.figures.products[dialogue.product.0].servers.as_ref();
         let qualifying = self.servers.iter().filter(|(_, s)| {
-            able.is_none_or(|able| able.contains(&s.number))
-                && self.qualifies(s, dialogue.width, dialogue.lot, warm)
+            able.is_none_or(|able| able.contains(&s.number)) && self.open(s, warm) && self.covers(s, dialogue)
         });
         let rank = |(id, s): &(&ServerId, &Server)| {
             let shunned = dialogue.shunned.as_ref() == Some(*id);
@@ -502,16 +505,24 @@
         best.map(|(id, _)| id.clone())
     }
 
-    fn qualifies(&self, server: &Server, width: f64, lot: f64, warm: f64) -> bool {
+    /// It may be sent something new.
+    fn open(&self, server: &Server, warm: f64) -> bool {
         let room = if server.trial_at.is_some() { 1.0 } else { server.limit.max(1.0) };
-        let tried = server.last_launch + server.trial_gap(&self.figures);
         server.listed == Listed::Active
-            && server.estimate() >= width
             && (server.in_turn().count() + 1) as f64 <= room
-            && (server.limit >= 1.0 || lot < server.limit || self.now >= tried)
             && self.now >= server.next_launch(&self.figures, warm)
     }
 
+    /// It has room for this dialogue. A first choice comes by itself; what other proxies turn away comes to the
+    /// emptiest from all at once, so that together they send it no more than it has borne.
+    fn covers(&self, server: &Server, dialogue: &Dialogue) -> bool {
+        let figures = &self.figures;
+        let tried = server.last_launch + server.gap(figures, TRIAL_SHARE);
+        server.estimate() >= dialogue.width
+            && (server.limit >= 1.0 || dialogue.lot < server.limit || self.now >= tried)
+            && (server.number == dialogue.first_choice || self.now >= server.overflow_at)
+    }
+
     // Figures that several rules share
 
     fn pick(&self, which: impl Fn(&Dialogue) -> bool) -> Vec<DialogueId> {
@@ -575,6 +586,7 @@
             cut_at: Duration::ZERO,
             opens_at: Duration::ZERO,
             last_launch: Duration::ZERO,
+            overflow_at: Duration::ZERO,
             last_sign: now,
             trial_at: None,
             rest: Duration::ZERO,
@@ -619,10 +631,13 @@
     ) {
         self.placed_since += dialogue.width;
         self.last_launch = now;
+        if dialogue.first_choice != self.number {
+            self.overflow_at = now + self.gap(figures, OVERFLOW_SHARE);
+        }
         self.out.push(Out { dialogue: id.clone(), launch: dialogue.last_launch(), at: now, overtaken: None });
         if self.trial_at.is_some() {
             self.rest = (self.rest * 2).min(LONGEST_REST);
-            self.trial_at = Some(now + self.rest.max(self.trial_gap(figures).mul_f64(0.5 + chance)));
+            self.trial_at = Some(now + self.rest.max(self.gap(figures, TRIAL_SHARE).mul_f64(0.5 + chance)));
         }
     }
 
@@ -724,7 +739,7 @@
     ) {
         if self.trial_at.is_none() {
             self.rest = figures.silence;
-            self.trial_at = Some(now + self.rest.max(self.trial_gap(figures).mul_f64(chance)));
+            self.trial_at = Some(now + self.rest.max(self.gap(figures, TRIAL_SHARE).mul_f64(chance)));
             self.doubt = (self.doubt * 2).min(LONGEST_DOUBT);
             let quiet = now.saturating_sub(self.last_sign);
             out.log(&format!(
@@ -751,9 +766,12 @@
         Duration::from_secs_f64(figures.proxies / rate)
     }
 
-    /// Between trials of one proxy: with many proxies each tries seldom.
-    fn trial_gap(&self, figures: &Figures) -> Duration {
-        Duration::from_secs_f64(figures.proxies / (TRIAL_SHARE * self.borne.max(LOWEST_RATE)))
+    /// Between launches of one proxy, where all together are to send this share of what the server has borne.
+    fn gap(&self, figures: &Figures, share: f64) -> Duration {
+        if self.borne == 0.0 {
+            return Duration::ZERO;
+        }
+        Duration::from_secs_f64(figures.proxies / (share * self.borne.max(LOWEST_RATE)))
     }
 
     /// The earliest moment that its trial or its cold budget leaves for a launch.
