A sign of life ends a silence at a server not under strain

With few launches a second silence is often chance, and a standing dialogue's end shows that the server lives. Harms where ends pass a jam of set-ups that is not told.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -652,17 +652,21 @@
         out: &mut dyn Signalling,
     ) -> Option<Duration> {
         self.last_sign = now;
-        let at = self.take_out(id, launch)?;
-        for earlier in self.out.iter_mut().filter(|o| o.at < at) {
-            earlier.overtaken.get_or_insert(now);
-        }
-        if self.trial_at.take().is_some() {
-            self.limit = 1.0;
+        let at = self.take_out(id, launch);
+        // Even the end of a standing dialogue breaks a silence, but tells nothing of set-ups that fail or jam.
+        let silent = self.misses < MISSES && self.faults < FAULTS && self.limit >= 1.0;
+        if (silent || at.is_some()) && self.trial_at.take().is_some() {
+            self.limit = self.limit.min(1.0);
             if self.misses >= MISSES && self.cold_level(now, figures).is_none() {
                 // It was down and has started before the list tells: cold from here.
                 self.started = Some(now);
             }
-            out.log(&format!("server {} back: answered after {:?}", self.number.0, now - at));
+            let wait = at.map(|at| now - at);
+            out.log(&format!("server {} back: a sign of life, answer after {wait:?}", self.number.0));
+        }
+        let at = at?;
+        for earlier in self.out.iter_mut().filter(|o| o.at < at) {
+            earlier.overtaken.get_or_insert(now);
         }
         (self.misses, self.faults) = (0, 0);
         Some(at)
