Lines in use that rise fast cut the limit as a surge

Free lines are the one figure that every proxy is told each second; between two tellings their fall says what all place.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -47,6 +47,10 @@
 const NEWEST_DIALOGUE: f64 = 0.01;
 /// The most that a server has borne fades over this time, in seconds.
 const BORNE_SPAN: f64 = 60.0;
+/// Lines in use are reckoned up after so many seconds at least.
+const RECKONING: f64 = 0.5;
+/// More dialogues coming to a server than this times the most it has borne are a surge.
+const SURGE: f64 = 1.5;
 
 /// The figures that decisions use, made from the route plan at start.
 struct Figures {
@@ -109,6 +113,7 @@
     /// and when that was last reckoned.
     borne: f64,
     reckoned_at: Duration,
+    in_use: f64,
 }
 
 struct Out {
@@ -597,6 +602,7 @@
             spread: Duration::ZERO,
             borne,
             reckoned_at: now,
+            in_use: 0.0,
         }
     }
 
@@ -611,13 +617,19 @@
         }
         // A queue is as long as the time it takes at the told rate, else at the rate at which the lines in use
         // have come there.
-        let placed = report.lines.zip(report.free_lines).map(|(all, free)| (all - free) / figures.lasts);
-        if let Some(placed) = placed
+        let in_use = report.lines.zip(report.free_lines).map(|(all, free)| all - free);
+        let placed = in_use.map(|lines| lines / figures.lasts);
+        let since = (now - self.reckoned_at).as_secs_f64();
+        if let Some((in_use, placed)) = in_use.zip(placed)
             && self.cold_level(now, figures).is_none()
+            && since >= RECKONING
         {
-            let since = (now - self.reckoned_at).as_secs_f64();
+            let arriving = placed + (in_use - self.in_use) / since;
+            if self.in_use > 0.0 && arriving > SURGE * self.borne.max(LOWEST_RATE) {
+                self.cut(now, Duration::ZERO, chance);
+            }
             self.borne = (self.borne * (-since / BORNE_SPAN).exp()).max(placed);
-            self.reckoned_at = now;
+            (self.reckoned_at, self.in_use) = (now, in_use);
         }
         let rate = report.rate.or(placed).filter(|rate| *rate > 0.0);
         let queue = report.queue.zip(rate).map(|(queue, rate)| queue / rate);
