Nothing is called off at a silent server unless overtaken

What is called off at a jam is work all the same, and a caller dials again; a server that is merely slow still answers in time.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -743,7 +743,7 @@
             // Not in the same breath: its answer may be the next input.
             (launch.at + self.ordinary()).max(overtaken + figures.tick)
         } else if self.trial_at.is_some() {
-            launch.at + self.patience(figures)
+            Duration::MAX
         } else {
             Duration::MAX
         }
