--- a/src/brain.rs
+++ b/src/brain.rs
@@ -735,15 +735,14 @@
         figures.silence.max(self.ordinary()) * self.doubt
     }
 
-    /// When a launch out there counts as lost: overtaken and past the ordinary wait; or at a server set aside
-    /// a second patience on, since a merely slow one has answered by then, and what is called off may be work
-    /// all the same.
+    /// When a launch out there counts as lost: overtaken and past the ordinary wait; or unanswered for long at a
+    /// server under no strain, which may be none but it there.
     fn lost_at(&self, launch: &Out, figures: &Figures) -> Duration {
         if let Some(overtaken) = launch.overtaken {
             // Not in the same breath: its answer may be the next input.
             (launch.at + self.ordinary()).max(overtaken + figures.tick)
-        } else if self.trial_at.is_some() {
-            Duration::MAX
+        } else if self.limit >= 1.0 {
+            launch.at + figures.silence.max(self.ordinary())
         } else {
             Duration::MAX
         }
