--- a/src/brain.rs
+++ b/src/brain.rs
@@ -735,17 +735,10 @@
         figures.silence.max(self.ordinary()) * self.doubt
     }
 
-    /// When a launch out there counts as lost: overtaken and past the ordinary wait; or unanswered for long at a
-    /// server under no strain, which may be none but it there.
+    /// When a launch out there counts as lost: overtaken and past the ordinary wait.
     fn lost_at(&self, launch: &Out, figures: &Figures) -> Duration {
-        if let Some(overtaken) = launch.overtaken {
-            // Not in the same breath: its answer may be the next input.
-            (launch.at + self.ordinary()).max(overtaken + figures.tick)
-        } else if self.limit >= 1.0 {
-            launch.at + figures.silence.max(self.ordinary())
-        } else {
-            Duration::MAX
-        }
+        // Not in the same breath: its answer may be the next input.
+        launch.overtaken.map_or(Duration::MAX, |at| (launch.at + self.ordinary()).max(at + figures.tick))
     }
 
     fn set_aside(
