--- a/src/brain.rs
+++ b/src/brain.rs
@@ -779,7 +779,7 @@
         if self.borne == 0.0 {
             return Duration::ZERO;
         }
-        Duration::from_secs_f64(figures.proxies / (share * self.borne.max(LOWEST_RATE)))
+        Duration::from_secs_f64(figures.proxies / (share * self.borne.max(1.0)))
     }
 
     /// The earliest moment that its trial or its cold budget leaves for a launch.
