--- a/src/brain.rs
+++ b/src/brain.rs
@@ -28,7 +28,9 @@
 /// The part of what a server has borne that all proxies together may spend on trials there.
 const TRIAL_SHARE: f64 = 0.2;
 /// The same for dialogues whose first choice is another.
-const OVERFLOW_SHARE: f64 = 2.0;
+const OVERFLOW_SHARE: f64 = 3.0;
+/// The part of the gap for which a turn lasts.
+const TURN: f64 = 0.25;
 /// The part of a cold server's budget that is used: the rest is for chance and for unequal proxies.
 const COLD_MARGIN: f64 = 0.85;
 /// The longest time between two trials of a server set aside.
@@ -525,7 +527,7 @@
         let tried = server.last_launch + server.gap(figures, TRIAL_SHARE);
         server.estimate() >= dialogue.width
             && (server.limit >= 1.0 || dialogue.lot < server.limit || self.now >= tried)
-            && (server.number == dialogue.first_choice || self.now >= server.overflow_at)
+            && (server.number == dialogue.first_choice || server.takes_overflow(self.now, figures))
     }
 
     // Figures that several rules share
@@ -782,6 +784,13 @@
         Duration::from_secs_f64(figures.proxies / (share * self.borne.max(1.0)))
     }
 
+    /// A turn comes each gap, by lot, and lapses soon: else all would have one saved up when a surge begins.
+    fn takes_overflow(&self, now: Duration, figures: &Figures) -> bool {
+        let gap = self.gap(figures, OVERFLOW_SHARE).as_secs_f64();
+        let Some(unused) = now.checked_sub(self.overflow_at) else { return false };
+        gap == 0.0 || (unused.as_secs_f64() / gap + f64::from(self.lot) / f64::from(u32::MAX)).fract() < TURN
+    }
+
     /// The earliest moment that its trial or its cold budget leaves for a launch.
     fn next_launch(&self, figures: &Figures, warm: f64) -> Duration {
         let gap = self.cold_gap(self.last_launch, figures, warm);
