--- a/src/brain.rs
+++ b/src/brain.rs
@@ -667,9 +667,7 @@
     ) -> Option<Duration> {
         self.last_sign = now;
         let at = self.take_out(id, launch);
-        // Even the end of a standing dialogue breaks a silence, but tells nothing of set-ups that fail or jam.
-        let silent = self.misses < MISSES && self.faults < FAULTS && self.limit >= 1.0;
-        if (silent || at.is_some()) && self.trial_at.take().is_some() {
+        if at.is_some() && self.trial_at.take().is_some() {
             self.limit = self.limit.min(1.0);
             if self.misses >= MISSES && self.cold_level(now, figures).is_none() {
                 // It was down and has started before the list tells: cold from here.
@@ -704,6 +702,10 @@
     /// A wait there, met or told: in ease the limit grows, else it falls.
     fn seen(&mut self, now: Duration, wait: Duration, figures: &Figures, chance: f64) {
         if wait <= figures.ease {
+            // A told ease breaks a silence, but says nothing of set-ups that fail.
+            if self.misses < MISSES && self.faults < FAULTS {
+                self.trial_at = None;
+            }
             // Below 1 an answer in ease takes one cut back; above, a full round adds one, within the headroom.
             let most = (self.in_turn().count() + 1) as f64 + figures.headroom;
             if self.limit < most {
