--- a/src/brain.rs
+++ b/src/brain.rs
@@ -49,10 +49,6 @@
 const NEWEST_DIALOGUE: f64 = 0.01;
 /// The most that a server has borne fades over this time, in seconds.
 const BORNE_SPAN: f64 = 60.0;
-/// Lines in use are reckoned up after so many seconds at least.
-const RECKONING: f64 = 0.5;
-/// More dialogues coming to a server than this times the most it has borne are a surge.
-const SURGE: f64 = 1.5;
 
 /// The figures that decisions use, made from the route plan at start.
 struct Figures {
@@ -115,7 +111,6 @@
     /// and when that was last reckoned.
     borne: f64,
     reckoned_at: Duration,
-    in_use: f64,
 }
 
 struct Out {
@@ -604,7 +599,6 @@
             spread: Duration::ZERO,
             borne,
             reckoned_at: now,
-            in_use: 0.0,
         }
     }
 
@@ -619,19 +613,13 @@
         }
         // A queue is as long as the time it takes at the told rate, else at the rate at which the lines in use
         // have come there.
-        let in_use = report.lines.zip(report.free_lines).map(|(all, free)| all - free);
-        let placed = in_use.map(|lines| lines / figures.lasts);
-        let since = (now - self.reckoned_at).as_secs_f64();
-        if let Some((in_use, placed)) = in_use.zip(placed)
+        let placed = report.lines.zip(report.free_lines).map(|(all, free)| (all - free) / figures.lasts);
+        if let Some(placed) = placed
             && self.cold_level(now, figures).is_none()
-            && since >= RECKONING
         {
-            let arriving = placed + (in_use - self.in_use) / since;
-            if self.in_use > 0.0 && arriving > SURGE * self.borne.max(LOWEST_RATE) {
-                self.cut(now, Duration::ZERO, chance);
-            }
+            let since = (now - self.reckoned_at).as_secs_f64();
             self.borne = (self.borne * (-since / BORNE_SPAN).exp()).max(placed);
-            (self.reckoned_at, self.in_use) = (now, in_use);
+            self.reckoned_at = now;
         }
         let rate = report.rate.or(placed).filter(|rate| *rate > 0.0);
         let queue = report.queue.zip(rate).map(|(queue, rate)| queue / rate);
@@ -667,7 +655,9 @@
     ) -> Option<Duration> {
         self.last_sign = now;
         let at = self.take_out(id, launch);
-        if at.is_some() && self.trial_at.take().is_some() {
+        // Even the end of a standing dialogue breaks a silence, but tells nothing of set-ups that fail or jam.
+        let silent = self.misses < MISSES && self.faults < FAULTS && self.limit >= 1.0;
+        if (silent || at.is_some()) && self.trial_at.take().is_some() {
             self.limit = self.limit.min(1.0);
             if self.misses >= MISSES && self.cold_level(now, figures).is_none() {
                 // It was down and has started before the list tells: cold from here.
@@ -702,10 +692,6 @@
     /// A wait there, met or told: in ease the limit grows, else it falls.
     fn seen(&mut self, now: Duration, wait: Duration, figures: &Figures, chance: f64) {
         if wait <= figures.ease {
-            // A told ease breaks a silence, but says nothing of set-ups that fail.
-            if self.misses < MISSES && self.faults < FAULTS {
-                self.trial_at = None;
-            }
             // Below 1 an answer in ease takes one cut back; above, a full round adds one, within the headroom.
             let most = (self.in_turn().count() + 1) as f64 + figures.headroom;
             if self.limit < most {
