--- a/src/brain.rs
+++ b/src/brain.rs
@@ -49,6 +49,10 @@
 const NEWEST_DIALOGUE: f64 = 0.01;
 /// The most that a server has borne fades over this time, in seconds.
 const BORNE_SPAN: f64 = 60.0;
+/// Lines in use are reckoned up after so many seconds at least.
+const RECKONING: f64 = 0.5;
+/// More dialogues coming to a server than this times the most it has borne are a surge.
+const SURGE: f64 = 1.5;
 
 /// The figures that decisions use, made from the route plan at start.
 struct Figures {
@@ -63,6 +67,8 @@
     least_gain: f64,
     /// How long a dialogue lasts, over the products.
     lasts: f64,
+    /// The times of what it has borne that is a surge; it feeds itself only where what waits is sent again.
+    surge: f64,
     /// A wait above this is strain and cuts a limit.
     ease: Duration,
     /// Launches out and no sign of life for this long is silence, however short the usual wait.
@@ -111,6 +117,7 @@
     /// and when that was last reckoned.
     borne: f64,
     reckoned_at: Duration,
+    in_use: f64,
 }
 
 struct Out {
@@ -186,6 +193,7 @@
         let lasts = lasts / plan.products.len().max(1) as f64;
         let figures = Figures {
             lasts,
+            surge: if plan.resend.is_zero() { f64::INFINITY } else { SURGE },
             over_quota_share: plan.over_quota_share,
             products: plan.products,
             tick: plan.tick,
@@ -485,7 +493,9 @@
         let server = self.servers.get_mut(&server_id).expect("it was chosen");
         dialogue.launches += 1;
         server.launched(self.now, &id, dialogue, &self.figures, self.pcg.share());
-        let time_out = (dialogue.answer_by + self.figures.tick * 2).saturating_sub(self.now);
+        let until = dialogue.answer_by + self.figures.tick * 2;
+        let until = if self.figures.surge.is_finite() { until } else { until.min(dialogue.promised) };
+        let time_out = until.saturating_sub(self.now);
         out.launch(&id, &server_id, time_out);
         dialogue.at = Some(server_id);
         true
@@ -599,6 +609,7 @@
             spread: Duration::ZERO,
             borne,
             reckoned_at: now,
+            in_use: 0.0,
         }
     }
 
@@ -613,13 +624,19 @@
         }
         // A queue is as long as the time it takes at the told rate, else at the rate at which the lines in use
         // have come there.
-        let placed = report.lines.zip(report.free_lines).map(|(all, free)| (all - free) / figures.lasts);
-        if let Some(placed) = placed
+        let in_use = report.lines.zip(report.free_lines).map(|(all, free)| all - free);
+        let placed = in_use.map(|lines| lines / figures.lasts);
+        let since = (now - self.reckoned_at).as_secs_f64();
+        if let Some((in_use, placed)) = in_use.zip(placed)
             && self.cold_level(now, figures).is_none()
+            && since >= RECKONING
         {
-            let since = (now - self.reckoned_at).as_secs_f64();
+            let arriving = placed + (in_use - self.in_use) / since;
+            if self.in_use > 0.0 && arriving > figures.surge * self.borne.max(LOWEST_RATE) {
+                self.cut(now, Duration::ZERO, chance);
+            }
             self.borne = (self.borne * (-since / BORNE_SPAN).exp()).max(placed);
-            self.reckoned_at = now;
+            (self.reckoned_at, self.in_use) = (now, in_use);
         }
         let rate = report.rate.or(placed).filter(|rate| *rate > 0.0);
         let queue = report.queue.zip(rate).map(|(queue, rate)| queue / rate);
