Where nothing is sent again, long unanswered launches are lost and end at the promise

Where a waiting set-up costs its server only its turn, leaving it early is cheap; where it is sent again it has cost its work.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -742,10 +742,17 @@
         figures.silence.max(self.ordinary()) * self.doubt
     }
 
-    /// When a launch out there counts as lost: overtaken and past the ordinary wait.
+    /// When a launch out there counts as lost: overtaken and past the ordinary wait; or, where what waits is not
+    /// sent again, long unanswered at a server under no strain.
     fn lost_at(&self, launch: &Out, figures: &Figures) -> Duration {
-        // Not in the same breath: its answer may be the next input.
-        launch.overtaken.map_or(Duration::MAX, |at| (launch.at + self.ordinary()).max(at + figures.tick))
+        match launch.overtaken {
+            // Not in the same breath: its answer may be the next input.
+            Some(at) => (launch.at + self.ordinary()).max(at + figures.tick),
+            None if self.limit >= 1.0 && figures.surge.is_infinite() => {
+                launch.at + figures.silence.max(self.ordinary())
+            }
+            None => Duration::MAX,
+        }
     }
 
     fn set_aside(
