--- a/src/brain.rs
+++ b/src/brain.rs
@@ -33,8 +33,6 @@
 const TURN: f64 = 0.25;
 /// The part of a cold server's budget that is used: the rest is for chance and for unequal proxies.
 const COLD_MARGIN: f64 = 0.85;
-/// The longest time between two trials of a server set aside.
-const LONGEST_REST: Duration = Duration::from_secs(4);
 /// So many launches in a row that do not reach a server, or that fail there, put it aside; at one that
 /// fails half, sixteen running do not come by chance.
 const MISSES: u32 = 2;
@@ -102,9 +100,8 @@
     /// From when it may take another whose first choice is another server.
     overflow_at: Duration,
     last_sign: Duration,
-    /// Set aside: when its next trial may go, and how long after that the one after.
+    /// Set aside: when its next trial may go.
     trial_at: Option<Duration>,
-    rest: Duration,
     /// Launches in a row that did not reach it, and that failed there.
     misses: u32,
     faults: u32,
@@ -601,7 +598,6 @@
             overflow_at: Duration::ZERO,
             last_sign: now,
             trial_at: None,
-            rest: Duration::ZERO,
             misses: 0,
             faults: 0,
             doubt: 2,
@@ -655,8 +651,7 @@
         }
         self.out.push(Out { dialogue: id.clone(), launch: dialogue.last_launch(), at: now, overtaken: None });
         if self.trial_at.is_some() {
-            self.rest = (self.rest * 2).min(LONGEST_REST);
-            self.trial_at = Some(now + self.rest.max(self.gap(figures, TRIAL_SHARE).mul_f64(0.5 + chance)));
+            self.trial_at = Some(now + self.next_trial(figures, 0.5 + chance));
         }
     }
 
@@ -760,8 +755,7 @@
         out: &mut dyn Signalling,
     ) {
         if self.trial_at.is_none() {
-            self.rest = figures.silence;
-            self.trial_at = Some(now + self.rest.max(self.gap(figures, TRIAL_SHARE).mul_f64(chance)));
+            self.trial_at = Some(now + self.next_trial(figures, chance));
             self.doubt = (self.doubt * 2).min(LONGEST_DOUBT);
             let quiet = now.saturating_sub(self.last_sign);
             out.log(&format!(
@@ -796,6 +790,10 @@
         Duration::from_secs_f64(figures.proxies / (share * self.borne.max(1.0)))
     }
 
+    fn next_trial(&self, figures: &Figures, chance: f64) -> Duration {
+        figures.silence.max(self.gap(figures, TRIAL_SHARE).mul_f64(chance))
+    }
+
     /// A turn comes each gap, by lot, and lapses soon: else all would have one saved up when a surge begins.
     fn takes_overflow(&self, now: Duration, figures: &Figures) -> bool {
         let gap = self.gap(figures, OVERFLOW_SHARE).as_secs_f64();
