--- a/src/brain.rs
+++ b/src/brain.rs
@@ -37,8 +37,6 @@
 /// fails half, sixteen running do not come by chance.
 const MISSES: u32 = 2;
 const FAULTS: u32 = 16;
-/// A slow server's patience grows to at most this many times the usual.
-const LONGEST_DOUBT: u32 = 4;
 /// A cold server of which nothing is known may be sent so many launches a second, by all proxies together.
 const LOWEST_RATE: f64 = 5.0;
 /// Weight of the newest answer in a smoothed figure.
@@ -105,8 +103,6 @@
     /// Launches in a row that did not reach it, and that failed there.
     misses: u32,
     faults: u32,
-    /// Times its patience: doubles with each silence until it answers in ease.
-    doubt: u32,
     /// Smoothed time to an answer, and its spread.
     usual: Duration,
     spread: Duration,
@@ -600,7 +596,6 @@
             trial_at: None,
             misses: 0,
             faults: 0,
-            doubt: 2,
             usual: Duration::ZERO,
             spread: Duration::ZERO,
             borne,
@@ -693,9 +688,6 @@
         }
         self.spread = self.spread.mul_f64(1.0 - NEWEST) + wait.abs_diff(self.usual).mul_f64(NEWEST);
         self.usual = self.usual.mul_f64(1.0 - NEWEST) + wait.mul_f64(NEWEST);
-        if wait <= figures.ease {
-            self.doubt = 1;
-        }
         if wait <= figures.ease || now - wait >= self.cut_at {
             self.seen(now, wait, figures, chance);
         }
@@ -734,7 +726,7 @@
 
     /// How long it may keep silent.
     fn patience(&self, figures: &Figures) -> Duration {
-        figures.silence.max(self.ordinary()) * self.doubt
+        figures.silence.max(self.ordinary()) * if self.limit < 1.0 { 4 } else { 2 }
     }
 
     /// When a launch out there counts as lost: overtaken and past the ordinary wait; or, where what waits is not
@@ -756,7 +748,6 @@
     ) {
         if self.trial_at.is_none() {
             self.trial_at = Some(now + self.next_trial(figures, chance));
-            self.doubt = (self.doubt * 2).min(LONGEST_DOUBT);
             let quiet = now.saturating_sub(self.last_sign);
             out.log(&format!(
                 "server {} at {} set aside: {why}, {} out, last sign {quiet:?} ago",
