--- a/src/brain.rs
+++ b/src/brain.rs
@@ -726,7 +726,7 @@
 
     /// How long it may keep silent.
     fn patience(&self, figures: &Figures) -> Duration {
-        figures.silence.max(self.ordinary()) * if self.limit < 1.0 { 4 } else { 2 }
+        figures.silence.max(self.ordinary())
     }
 
     /// When a launch out there counts as lost: overtaken and past the ordinary wait; or, where what waits is not
