--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -100,10 +100,10 @@
             "STATUS_BACK" => {
                 let (server, report) = (server(&fields)?, load_report(&fields)?);
                 outcome(fields.need("outcome")?)?;
-                let asked = fields.time("durationMs")? > Duration::ZERO;
+                fields.time("durationMs")?;
                 let now = self.now;
                 let (instance, reply) = self.instance()?;
-                instance.brain.reported(now, &server, &report, asked, reply);
+                instance.brain.reported(now, &server, &report, reply);
             }
             "REPLY" => {
                 let end = LaunchEnd {
@@ -132,14 +132,11 @@
                 instance.brain.alarm(now, timer, reply);
             }
             "HEARD" => {
-                let peer = PeerId(fields.whole("who")?);
-                let message = match fields.need("content")? {
-                    "-" => Vec::new(),
-                    text => BASE64.decode(text).with_context(|| format!("content={text} is no base64"))?,
-                };
-                let now = self.now;
-                let (instance, reply) = self.instance()?;
-                instance.brain.heard(now, peer, &message, reply);
+                // Nothing is decided by a message of another edge proxy; it is checked like any other.
+                let (_, text) = (fields.whole::<u32>("who")?, fields.need("content")?);
+                let text = Some(text).filter(|text| *text != "-").unwrap_or_default();
+                BASE64.decode(text).with_context(|| format!("content={text} is no base64"))?;
+                self.instance()?;
             }
             _ => bail!("no known message"),
         }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -14,6 +14,7 @@
 //! 6. Cold budget: launches to a server just started are spaced by what its forerunner bore.
 
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use crate::interface::*;
@@ -21,7 +22,7 @@
 
 /// A limit is cut to this share of itself.
 const CUT: f64 = 0.7;
-/// The lowest limit; below 1 a limit is the share of the dialogues, drawn by lot, for which a server qualifies.
+/// The lowest limit; below 1 it is the share of the dialogues, drawn by lot, for which a server qualifies.
 const LOWEST_LIMIT: f64 = 0.05;
 /// What all proxies together may add to the set-ups in turn at a server that is in ease.
 const HEADROOM: f64 = 8.0;
@@ -33,15 +34,13 @@
 const TURN: f64 = 0.25;
 /// The part of a cold server's budget that is used: the rest is for chance and for unequal proxies.
 const COLD_MARGIN: f64 = 0.85;
-/// So many launches in a row that do not reach a server, or that fail there, put it aside; at one that
-/// fails half, sixteen running do not come by chance.
+/// So many launches running that do not reach a server, or fail there, put it aside: more than chance brings.
 const MISSES: u32 = 2;
 const FAULTS: u32 = 16;
 /// A cold server of which nothing is known may be sent so many launches a second, by all proxies together.
 const LOWEST_RATE: f64 = 5.0;
-/// Weight of the newest answer in a smoothed figure.
+/// Weight of the newest answer in a smoothed figure, and of the newest dialogue in the tenants' parts.
 const NEWEST: f64 = 0.2;
-/// Weight of the newest dialogue in the tenants' parts.
 const NEWEST_DIALOGUE: f64 = 0.01;
 /// The most that a server has borne fades over this time, in seconds.
 const BORNE_SPAN: f64 = 60.0;
@@ -59,8 +58,6 @@
     proxies: f64,
     /// This proxy's part of the headroom: with many proxies what each may add counts as many times.
     headroom: f64,
-    /// The least gain of a product: what the lots are measured by.
-    least_gain: f64,
     /// How long a dialogue lasts, over the products.
     lasts: f64,
     /// The times of what it has borne that is a surge; it feeds itself only where what waits is sent again.
@@ -81,6 +78,8 @@
 
 /// All that is known of a core server.
 struct Server {
+    figures: Rc<Figures>,
+    pcg: Pcg,
     number: ServerNumber,
     listed: Listed,
     /// When it last started, as far as is known; none: long ago.
@@ -92,7 +91,6 @@
     /// Launches out, oldest first.
     out: Vec<Out>,
     limit: f64,
-    cut_at: Duration,
     opens_at: Duration,
     last_launch: Duration,
     /// From when it may take another whose first choice is another server.
@@ -106,11 +104,11 @@
     /// Smoothed time to an answer, and its spread.
     usual: Duration,
     spread: Duration,
-    /// The most dialogues a second that all proxies placed there while it was warm, its forerunner's included,
-    /// and when that was last reckoned.
+    /// The most dialogues a second that all proxies placed there, its forerunner's included; when that was last
+    /// reckoned, and what they placed then.
     borne: f64,
     reckoned_at: Duration,
-    in_use: f64,
+    placed: f64,
 }
 
 struct Out {
@@ -150,7 +148,7 @@
 }
 
 pub struct Brain {
-    figures: Figures,
+    figures: Rc<Figures>,
     demands: Vec<Demand>,
     pcg: Pcg,
     now: Duration,
@@ -178,22 +176,22 @@
     pub fn new(plan: RoutePlan, seed: u64) -> Self {
         let tightest = plan.products.iter().map(|p| p.promised).min().unwrap_or(Duration::MAX);
         let resend = if plan.resend.is_zero() { Duration::MAX } else { plan.resend };
-        let least_gain = plan.products.iter().map(|p| p.gain).fold(f64::INFINITY, f64::min);
+        // Gains are measured by the least, as the lots are.
+        let least = plan.products.iter().map(|p| p.gain).fold(f64::INFINITY, f64::min);
         let quotas: f64 = plan.tenants.iter().map(|t| t.quota).sum();
         let demand = |t: &Tenant| Demand { quota: t.quota / quotas, asked: t.quota / quotas };
         let demands = plan.tenants.iter().map(demand).collect();
         let lasts: f64 = plan.products.iter().map(|p| p.lasts.as_secs_f64()).sum();
         let lasts = lasts / plan.products.len().max(1) as f64;
-        let figures = Figures {
+        let figures = Rc::new(Figures {
             lasts,
             surge: if plan.resend.is_zero() { f64::INFINITY } else { SURGE },
             over_quota_share: plan.over_quota_share,
-            products: plan.products,
+            products: plan.products.into_iter().map(|p| Product { gain: p.gain / least, ..p }).collect(),
             tick: plan.tick,
             release: plan.release,
             proxies: f64::from(plan.proxies),
             headroom: (HEADROOM / f64::from(plan.proxies)).min(1.0),
-            least_gain,
             ease: (tightest / 3).min(resend / 5 * 4),
             silence: tightest / 2,
             max_launches: plan.max_launches,
@@ -203,7 +201,7 @@
             cold_share: plan.cold_share,
             warm_after: plan.warm_after,
             cold_multiple: plan.fall_multiple * COLD_MARGIN,
-        };
+        });
         Self {
             figures,
             demands,
@@ -226,30 +224,33 @@
             self.servers.values_mut().for_each(|s| s.listed = Listed::Gone);
         }
         for entry in entries {
-            let known = self.servers.get_mut(&entry.server);
-            if let Some(server) = known
+            if let Some(server) = self.servers.get_mut(&entry.server)
                 && Some(entry.since).filter(|s| !s.is_zero()) <= server.started
             {
                 (server.number, server.listed) = (entry.number, entry.listed);
                 continue;
             }
-            // New, or a new start under the old id: nothing learned holds but what such a server bears.
+            // New, or a new start under the old id: nothing learned holds but what such a server bears,
+            // known from its forerunner, else taken to be the least that a warm one has borne.
             let same = self.servers.values().filter(|s| s.number == entry.number);
-            let borne = same.map(|s| s.borne).fold(0.0, f64::max);
-            let mut server = Server::new(entry, now, borne, self.figures.headroom, self.pcg.draw());
+            let same = same.map(|s| s.borne).max_by(f64::total_cmp).filter(|borne| *borne > 0.0);
+            let warm = self.servers.values().filter(|s| s.cold_level(now).is_none());
+            let warm = warm.map(|s| s.borne).min_by(f64::total_cmp);
+            let borne = same.or(warm).unwrap_or_default();
+            let mut server = Server::new(entry, now, borne, self.figures.clone(), self.pcg.draw());
             if let Some(before) = self.servers.remove(&entry.server) {
                 server.out = before.out;
             }
             // All proxies hear of a start at once: each lets a part of its first gap pass, by chance.
-            let gap = server.cold_gap(now, &self.figures, self.least_borne_by_the_warm());
-            server.opens_at = now + gap.mul_f64(self.pcg.share());
+            let gap = server.cold_gap(now);
+            server.opens_at = now + gap.mul_f64(server.pcg.share());
             self.servers.insert(entry.server.clone(), server);
         }
         // One that is gone is kept until another takes its number: what it bore tells of the next.
         let active = self.servers.values().filter(|s| s.listed == Listed::Active);
         let active: Vec<ServerNumber> = active.map(|s| s.number).collect();
-        let spent = |s: &Server| s.listed == Listed::Gone && s.out.is_empty() && active.contains(&s.number);
-        self.servers.retain(|_, s| !spent(s));
+        self.servers
+            .retain(|_, s| s.listed != Listed::Gone || !s.out.is_empty() || !active.contains(&s.number));
         self.settle(out);
     }
 
@@ -266,7 +267,7 @@
         let unknown = arrival.again && !arrival.came_back && before.is_none();
         let late = unknown || now >= first_dialled + product.promised;
         let gain = product.gain * part * if late { product.late_share } else { 1.0 };
-        let lot = self.pcg.share() * self.figures.least_gain / gain;
+        let lot = self.pcg.share() / gain;
         let dialogue = Dialogue {
             product: arrival.product,
             key: arrival.key,
@@ -297,15 +298,10 @@
     }
 
     /// A core server told of itself outside an answer to a dialogue.
-    pub fn reported(
-        &mut self, now: Duration, id: &ServerId, report: &LoadReport, asked: bool, out: &mut dyn Signalling,
-    ) {
+    pub fn reported(&mut self, now: Duration, id: &ServerId, report: &LoadReport, out: &mut dyn Signalling) {
         self.turn_to(now);
         if let Some(server) = self.servers.get_mut(id) {
-            server.read(now, report, &self.figures, self.pcg.share());
-            if asked {
-                server.last_sign = now;
-            }
+            server.read(now, report);
         }
         self.settle(out);
     }
@@ -318,9 +314,9 @@
         self.turn_to(now);
         self.dialogues.remove(id);
         if let Some(server) = self.servers.get_mut(server)
-            && let Some(at) = server.answered(now, id, launch, &self.figures, out)
+            && let Some(at) = server.answered(now, id, launch, out)
         {
-            server.learn(now, now - at, &self.figures, self.pcg.share());
+            server.learn(now, now - at);
         }
         self.settle(out);
     }
@@ -329,10 +325,9 @@
     pub fn ended(&mut self, now: Duration, end: LaunchEnd, out: &mut dyn Signalling) {
         self.turn_to(now);
         if let Some(server) = self.servers.get_mut(&end.server) {
-            server.read(now, &end.report, &self.figures, self.pcg.share());
-            let chance = self.pcg.share();
+            server.read(now, &end.report);
             if matches!(end.outcome, Outcome::Ended | Outcome::LinesTaken | Outcome::TurnedBack) {
-                server.answered(now, &end.dialogue, end.launch, &self.figures, out);
+                server.answered(now, &end.dialogue, end.launch, out);
             } else if server.take_out(&end.dialogue, end.launch).is_some() {
                 // One failure may be chance, and a server can fail some and serve the rest well; a run of
                 // them is a server down, or one that fails all so quickly that it would draw everything.
@@ -343,19 +338,14 @@
                     }
                     _ => {}
                 }
-                if server.misses >= MISSES {
-                    server.set_aside(now, "out of reach", &end.server, &self.figures, chance, out);
-                } else if server.faults >= FAULTS {
-                    server.set_aside(now, "fails all", &end.server, &self.figures, chance, out);
+                let why = if server.misses >= MISSES { "out of reach" } else { "fails all" };
+                if server.misses >= MISSES || server.faults >= FAULTS {
+                    server.set_aside(now, why, &end.server, out);
                 }
             }
-            // The design: full is zero free until its next report.
-            if matches!(end.outcome, Outcome::LinesTaken | Outcome::TurnedBack | Outcome::NotSent) {
-                server.told_free = Some(0.0);
-            }
             match end.outcome {
-                Outcome::TurnedBack => server.cut(now, self.figures.silence * 2, self.pcg.share()),
-                Outcome::LinesTaken => server.cut(now, Duration::ZERO, self.pcg.share()),
+                Outcome::TurnedBack => server.full(now, self.figures.silence * 2),
+                Outcome::LinesTaken => server.full(now, Duration::ZERO),
                 _ => {}
             }
         }
@@ -389,12 +379,6 @@
         self.settle(out);
     }
 
-    /// A message of another edge proxy; nothing is decided by one yet.
-    pub fn heard(&mut self, now: Duration, _peer: PeerId, _message: &[u8], out: &mut dyn Signalling) {
-        self.turn_to(now);
-        self.settle(out);
-    }
-
     fn turn_to(&mut self, now: Duration) {
         self.look = true;
         self.now = now;
@@ -417,38 +401,31 @@
 
     /// Whatever else goes wrong, a dialogue is answered before the cut-off of its try.
     fn answer_before_the_cut_off(&mut self, out: &mut dyn Signalling) -> bool {
-        let overdue = self.pick(|d| self.now >= d.answer_by);
-        for id in &overdue {
-            self.let_go(id, out);
-            out.fail(id);
-        }
-        !overdue.is_empty()
+        let Some(id) = self.find(|d| self.now >= d.answer_by) else { return false };
+        self.let_go(&id, out);
+        out.fail(&id);
+        true
     }
 
     /// A dialogue that can no longer stand within the promised time is refused at once: what it would
     /// take is better spent on one that can.
     fn refuse_the_hopeless(&mut self, out: &mut dyn Signalling) -> bool {
-        let hopeless = self.pick(|d| {
-            d.at.is_none()
-                && (self.now.max(d.not_before) >= self.launch_by(d)
-                    || d.turned_back > 1
-                    || d.launches >= self.figures.max_launches)
-        });
-        for id in &hopeless {
-            self.let_go(id, out);
-            out.refuse(id, self.figures.come_back);
-        }
-        !hopeless.is_empty()
+        let spent = |d: &Dialogue| d.turned_back > 1 || d.launches >= self.figures.max_launches;
+        let late = |d: &Dialogue| self.now.max(d.not_before) >= self.launch_by(d);
+        let Some(id) = self.find(|d| d.at.is_none() && (spent(d) || late(d))) else { return false };
+        self.let_go(&id, out);
+        out.refuse(&id, self.figures.come_back);
+        true
     }
 
     /// Launches out and no sign of life: hung, cut off, or dead before the list tells.
     fn set_the_silent_aside(&mut self, out: &mut dyn Signalling) -> bool {
         let silent = self.servers.iter_mut().find(|(_, s)| {
             let since = s.in_turn().next().map(|oldest| s.last_sign.max(oldest.at));
-            s.trial_at.is_none() && since.is_some_and(|t| self.now >= t + s.patience(&self.figures))
+            s.trial_at.is_none() && since.is_some_and(|t| self.now >= t + s.patience())
         });
         let Some((id, server)) = silent else { return false };
-        server.set_aside(self.now, "silent", id, &self.figures, self.pcg.share(), out);
+        server.set_aside(self.now, "silent", id, out);
         true
     }
 
@@ -460,8 +437,7 @@
             figures.may_cancel
                 && !d.called_off
                 && now + figures.release < d.promised
-                && server
-                    .is_some_and(|s| s.out.iter().any(|o| o.dialogue == **id && now >= s.lost_at(o, figures)))
+                && server.is_some_and(|s| s.out.iter().any(|o| o.dialogue == **id && now >= s.lost_at(o)))
         });
         let Some((id, dialogue)) = lost else { return false };
         dialogue.called_off = true;
@@ -472,24 +448,22 @@
     /// Of the dialogues that wait and have a server, the one of highest gain is launched, the newest first:
     /// where room is short the oldest is about to leave or to stand too late.
     fn launch_the_best(&mut self, out: &mut dyn Signalling) -> bool {
-        let warm = self.least_borne_by_the_warm();
-        if !self.servers.values().any(|s| self.open(s, warm)) {
+        if !self.servers.values().any(|s| s.open(self.now)) {
             return false;
         }
         let waiting = self.dialogues.iter().filter(|(_, d)| d.at.is_none() && self.now >= d.not_before);
         let mut waiting: Vec<_> = waiting.collect();
         waiting
             .sort_by(|(_, a), (_, b)| b.gain.total_cmp(&a.gain).then(b.first_dialled.cmp(&a.first_dialled)));
-        let best = waiting.into_iter().find_map(|(id, d)| Some((id.clone(), self.choose(d, warm)?)));
+        let best = waiting.into_iter().find_map(|(id, d)| Some((id.clone(), self.choose(d)?)));
         let Some((id, server_id)) = best else { return false };
         let dialogue = self.dialogues.get_mut(&id).expect("it waits");
         let server = self.servers.get_mut(&server_id).expect("it was chosen");
         dialogue.launches += 1;
-        server.launched(self.now, &id, dialogue, &self.figures, self.pcg.share());
+        server.launched(self.now, &id, dialogue);
         let until = dialogue.answer_by + self.figures.tick * 2;
         let until = if self.figures.surge.is_finite() { until } else { until.min(dialogue.promised) };
-        let time_out = until.saturating_sub(self.now);
-        out.launch(&id, &server_id, time_out);
+        out.launch(&id, &server_id, until.saturating_sub(self.now));
         dialogue.at = Some(server_id);
         true
     }
@@ -497,10 +471,12 @@
     // The design
 
     /// The first choice while it qualifies, else the qualifying server with most estimated free lines.
-    fn choose(&self, dialogue: &Dialogue, warm: f64) -> Option<ServerId> {
+    fn choose(&self, dialogue: &Dialogue) -> Option<ServerId> {
         let able = self.figures.products[dialogue.product.0].servers.as_ref();
         let qualifying = self.servers.iter().filter(|(_, s)| {
-            able.is_none_or(|able| able.contains(&s.number)) && self.open(s, warm) && self.covers(s, dialogue)
+            able.is_none_or(|able| able.contains(&s.number))
+                && s.open(self.now)
+                && s.covers(self.now, dialogue)
         });
         let rank = |(id, s): &(&ServerId, &Server)| {
             let shunned = dialogue.shunned.as_ref() == Some(*id);
@@ -510,28 +486,10 @@
         best.map(|(id, _)| id.clone())
     }
 
-    /// It may be sent something new.
-    fn open(&self, server: &Server, warm: f64) -> bool {
-        let room = if server.trial_at.is_some() { 1.0 } else { server.limit.max(1.0) };
-        server.listed == Listed::Active
-            && (server.in_turn().count() + 1) as f64 <= room
-            && self.now >= server.next_launch(&self.figures, warm)
-    }
-
-    /// It has room for this dialogue. A first choice comes by itself; what other proxies turn away comes to the
-    /// emptiest from all at once, so that together they send it no more than it has borne.
-    fn covers(&self, server: &Server, dialogue: &Dialogue) -> bool {
-        let figures = &self.figures;
-        let tried = server.last_launch + server.gap(figures, TRIAL_SHARE);
-        server.estimate() >= dialogue.width
-            && (server.limit >= 1.0 || dialogue.lot < server.limit || self.now >= tried)
-            && (server.number == dialogue.first_choice || server.takes_overflow(self.now, figures))
-    }
-
     // Figures that several rules share
 
-    fn pick(&self, which: impl Fn(&Dialogue) -> bool) -> Vec<DialogueId> {
-        self.dialogues.iter().filter(|(_, d)| which(d)).map(|(id, _)| id.clone()).collect()
+    fn find(&self, which: impl Fn(&Dialogue) -> bool) -> Option<DialogueId> {
+        self.dialogues.iter().find(|(_, d)| which(d)).map(|(id, _)| id.clone())
     }
 
     /// A launch later than this would probably stand after the promised time.
@@ -541,12 +499,6 @@
         dialogue.promised.min(dialogue.answer_by).saturating_sub(usual)
     }
 
-    /// The least dialogues a second that a warm server has borne from all proxies.
-    fn least_borne_by_the_warm(&self) -> f64 {
-        let warm = self.servers.values().filter(|s| s.cold_level(self.now, &self.figures).is_none());
-        warm.map(|s| s.borne).min_by(f64::total_cmp).unwrap_or_default()
-    }
-
     /// Room is short only where tenants together ask for about their quotas or more; then one whose part of
     /// the dialogues exceeds its part of the quotas is over by the difference, and chance says with which.
     fn beyond_quota(&mut self, tenant: Option<TenantId>) -> bool {
@@ -578,8 +530,11 @@
 }
 
 impl Server {
-    fn new(entry: &ListEntry, now: Duration, borne: f64, headroom: f64, lot: u32) -> Self {
+    fn new(entry: &ListEntry, now: Duration, borne: f64, figures: Rc<Figures>, lot: u32) -> Self {
         Self {
+            pcg: Pcg::new(lot.into()),
+            limit: 1.0 + figures.headroom,
+            figures,
             number: entry.number,
             listed: entry.listed,
             started: Some(entry.since).filter(|s| !s.is_zero()),
@@ -587,8 +542,6 @@
             told_free: None,
             placed_since: 0.0,
             out: Vec::new(),
-            limit: 1.0 + headroom,
-            cut_at: Duration::ZERO,
             opens_at: Duration::ZERO,
             last_launch: Duration::ZERO,
             overflow_at: Duration::ZERO,
@@ -600,7 +553,7 @@
             spread: Duration::ZERO,
             borne,
             reckoned_at: now,
-            in_use: 0.0,
+            placed: 0.0,
         }
     }
 
@@ -609,44 +562,62 @@
         self.told_free.map_or(f64::INFINITY, |free| free - self.placed_since)
     }
 
-    fn read(&mut self, now: Duration, report: &LoadReport, figures: &Figures, chance: f64) {
+    /// It may be sent something new.
+    fn open(&self, now: Duration) -> bool {
+        let room = if self.trial_at.is_some() { 1.0 } else { self.limit.max(1.0) };
+        self.listed == Listed::Active
+            && (self.in_turn().count() + 1) as f64 <= room
+            && now >= self.trial_at.unwrap_or_default().max(self.opens_at)
+            && now >= self.last_launch + self.cold_gap(self.last_launch)
+    }
+
+    /// It has room for this dialogue. What others turn away comes to the emptiest from all proxies at once, so
+    /// together they send it a few times what it has borne: a turn comes each gap, by lot, and lapses soon, else
+    /// all would have one saved up when a surge begins.
+    fn covers(&self, now: Duration, dialogue: &Dialogue) -> bool {
+        let turn =
+            now.saturating_sub(self.overflow_at).as_secs_f64() / self.gap(OVERFLOW_SHARE).as_secs_f64();
+        let turn = (turn + f64::from(self.lot) / f64::from(u32::MAX)).fract();
+        let tried = self.last_launch + self.gap(TRIAL_SHARE);
+        self.estimate() >= dialogue.width
+            && (self.limit >= 1.0 || dialogue.lot < self.limit || now >= tried)
+            && (self.number == dialogue.first_choice
+                || self.borne == 0.0
+                || now >= self.overflow_at && turn < TURN)
+    }
+
+    fn read(&mut self, now: Duration, report: &LoadReport) {
         if let Some(free) = report.free_lines {
             (self.told_free, self.placed_since) = (Some(free), 0.0);
         }
-        // A queue is as long as the time it takes at the told rate, else at the rate at which the lines in use
-        // have come there.
-        let in_use = report.lines.zip(report.free_lines).map(|(all, free)| all - free);
-        let placed = in_use.map(|lines| lines / figures.lasts);
+        // A queue lasts as long as it takes at the told rate, else at the rate that the lines in use tell.
+        let placed = report.lines.zip(report.free_lines).map(|(all, free)| (all - free) / self.figures.lasts);
         let since = (now - self.reckoned_at).as_secs_f64();
-        if let Some((in_use, placed)) = in_use.zip(placed)
-            && self.cold_level(now, figures).is_none()
-            && since >= RECKONING
-        {
-            let arriving = placed + (in_use - self.in_use) / since;
-            if self.in_use > 0.0 && arriving > figures.surge * self.borne.max(LOWEST_RATE) {
-                self.cut(now, Duration::ZERO, chance);
+        if let Some(placed) = placed.filter(|_| since >= RECKONING && self.cold_level(now).is_none()) {
+            // What comes is what goes, at the mean length, and what the lines in use have grown by.
+            let coming = placed + (placed - self.placed) * self.figures.lasts / since;
+            if self.placed > 0.0 && coming > self.figures.surge * self.borne.max(LOWEST_RATE) {
+                self.cut(now, Duration::ZERO);
             }
             self.borne = (self.borne * (-since / BORNE_SPAN).exp()).max(placed);
-            (self.reckoned_at, self.in_use) = (now, in_use);
+            (self.reckoned_at, self.placed) = (now, placed);
         }
         let rate = report.rate.or(placed).filter(|rate| *rate > 0.0);
         let queue = report.queue.zip(rate).map(|(queue, rate)| queue / rate);
         if let Some(wait) = report.wait.map(|wait| wait.as_secs_f64()).or(queue) {
-            self.seen(now, Duration::from_secs_f64(wait.min(60.0)), figures, chance);
+            self.seen(now, Duration::from_secs_f64(wait.min(60.0)));
         }
     }
 
-    fn launched(
-        &mut self, now: Duration, id: &DialogueId, dialogue: &Dialogue, figures: &Figures, chance: f64,
-    ) {
+    fn launched(&mut self, now: Duration, id: &DialogueId, dialogue: &Dialogue) {
         self.placed_since += dialogue.width;
         self.last_launch = now;
         if dialogue.first_choice != self.number {
-            self.overflow_at = now + self.gap(figures, OVERFLOW_SHARE);
+            self.overflow_at = now + self.gap(OVERFLOW_SHARE);
         }
         self.out.push(Out { dialogue: id.clone(), launch: dialogue.last_launch(), at: now, overtaken: None });
         if self.trial_at.is_some() {
-            self.trial_at = Some(now + self.next_trial(figures, 0.5 + chance));
+            self.trial_at = Some(now + self.next_trial(0.5));
         }
     }
 
@@ -657,16 +628,15 @@
 
     /// It has answered: a sign of life, and to a launch still out the end of any silence.
     fn answered(
-        &mut self, now: Duration, id: &DialogueId, launch: LaunchNo, figures: &Figures,
-        out: &mut dyn Signalling,
+        &mut self, now: Duration, id: &DialogueId, launch: LaunchNo, out: &mut dyn Signalling,
     ) -> Option<Duration> {
         self.last_sign = now;
         let at = self.take_out(id, launch);
-        // Even the end of a standing dialogue breaks a silence, but tells nothing of set-ups that fail or jam.
+        // The end of a standing dialogue breaks a silence too, but says nothing of set-ups that fail or jam.
         let silent = self.misses < MISSES && self.faults < FAULTS && self.limit >= 1.0;
         if (silent || at.is_some()) && self.trial_at.take().is_some() {
             self.limit = self.limit.min(1.0);
-            if self.misses >= MISSES && self.cold_level(now, figures).is_none() {
+            if self.misses >= MISSES && self.cold_level(now).is_none() {
                 // It was down and has started before the list tells: cold from here.
                 self.started = Some(now);
             }
@@ -682,36 +652,41 @@
     }
 
     /// A dialogue stood after this wait.
-    fn learn(&mut self, now: Duration, wait: Duration, figures: &Figures, chance: f64) {
+    fn learn(&mut self, now: Duration, wait: Duration) {
         if self.usual.is_zero() {
             (self.usual, self.spread) = (wait, wait / 2);
         }
         self.spread = self.spread.mul_f64(1.0 - NEWEST) + wait.abs_diff(self.usual).mul_f64(NEWEST);
         self.usual = self.usual.mul_f64(1.0 - NEWEST) + wait.mul_f64(NEWEST);
-        if wait <= figures.ease || now - wait >= self.cut_at {
-            self.seen(now, wait, figures, chance);
+        if wait <= self.figures.ease || now - wait >= self.opens_at {
+            self.seen(now, wait);
         }
     }
 
     /// A wait there, met or told: in ease the limit grows, else it falls.
-    fn seen(&mut self, now: Duration, wait: Duration, figures: &Figures, chance: f64) {
-        if wait <= figures.ease {
-            // Below 1 an answer in ease takes one cut back; above, a full round adds one, within the headroom.
-            let most = (self.in_turn().count() + 1) as f64 + figures.headroom;
+    fn seen(&mut self, now: Duration, wait: Duration) {
+        if wait <= self.figures.ease {
+            // Below 1 an ease takes one cut back; above, a full round adds one, within the headroom.
+            let most = (self.in_turn().count() + 1) as f64 + self.figures.headroom;
             if self.limit < most {
                 self.limit = (self.limit / CUT).min(self.limit + 1.0 / self.limit).min(most);
             }
         } else if now >= self.opens_at {
-            self.cut(now, wait - figures.ease, chance);
+            self.cut(now, wait - self.figures.ease);
         }
     }
 
+    /// The design: full is zero free until its next report.
+    fn full(&mut self, now: Duration, beyond: Duration) {
+        self.told_free = Some(0.0);
+        self.cut(now, beyond);
+    }
+
     /// Strain: the limit falls, and what waits there beyond the ease is left time to be worked off. Others
     /// see the same, so chance keeps them from coming back as one.
-    fn cut(&mut self, now: Duration, beyond: Duration, chance: f64) {
+    fn cut(&mut self, now: Duration, beyond: Duration) {
         self.limit = (self.limit * CUT).max(LOWEST_LIMIT);
-        self.cut_at = now;
-        self.opens_at = self.opens_at.max(now + beyond.mul_f64(0.5 + chance));
+        self.opens_at = self.opens_at.max(now + beyond.mul_f64(0.5 + self.pcg.share()));
     }
 
     /// The launches that are still in turn there, oldest first.
@@ -725,76 +700,52 @@
     }
 
     /// How long it may keep silent.
-    fn patience(&self, figures: &Figures) -> Duration {
-        figures.silence.max(self.ordinary())
+    fn patience(&self) -> Duration {
+        self.figures.silence.max(self.ordinary())
     }
 
-    /// When a launch out there counts as lost: overtaken and past the ordinary wait; or, where what waits is not
-    /// sent again, long unanswered at a server under no strain.
-    fn lost_at(&self, launch: &Out, figures: &Figures) -> Duration {
+    /// When a launch out there counts as lost: overtaken and past the ordinary wait; or, where nothing is sent
+    /// again by itself, long unanswered at a server under no strain.
+    fn lost_at(&self, launch: &Out) -> Duration {
         match launch.overtaken {
             // Not in the same breath: its answer may be the next input.
-            Some(at) => (launch.at + self.ordinary()).max(at + figures.tick),
-            None if self.limit >= 1.0 && figures.surge.is_infinite() => {
-                launch.at + figures.silence.max(self.ordinary())
-            }
+            Some(at) => (launch.at + self.ordinary()).max(at + self.figures.tick),
+            None if self.limit >= 1.0 && self.figures.surge.is_infinite() => launch.at + self.patience(),
             None => Duration::MAX,
         }
     }
 
-    fn set_aside(
-        &mut self, now: Duration, why: &str, id: &ServerId, figures: &Figures, chance: f64,
-        out: &mut dyn Signalling,
-    ) {
+    fn set_aside(&mut self, now: Duration, why: &str, id: &ServerId, out: &mut dyn Signalling) {
         if self.trial_at.is_none() {
-            self.trial_at = Some(now + self.next_trial(figures, chance));
-            let quiet = now.saturating_sub(self.last_sign);
-            out.log(&format!(
-                "server {} at {} set aside: {why}, {} out, last sign {quiet:?} ago",
-                self.number.0,
-                id.0,
-                self.out.len()
-            ));
+            self.trial_at = Some(now + self.next_trial(0.0));
+            let (quiet, there) = (now - self.last_sign, self.out.len());
+            let line = format!("server {} at {} set aside: {why}, {there} out", self.number.0, id.0);
+            out.log(&format!("{line}, last sign {quiet:?} ago"));
         }
     }
 
     /// The share of its capacity that a server just started is sure to have; none once warm.
-    fn cold_level(&self, now: Duration, figures: &Figures) -> Option<f64> {
-        let warmed = now.saturating_sub(self.started?).as_secs_f64() / figures.warm_after.as_secs_f64();
-        (warmed < 1.0).then_some(figures.cold_share + (1.0 - figures.cold_share) * warmed)
+    fn cold_level(&self, now: Duration) -> Option<f64> {
+        let warmed = now.saturating_sub(self.started?).as_secs_f64() / self.figures.warm_after.as_secs_f64();
+        let from = self.figures.cold_share;
+        (warmed < 1.0).then_some(from + (1.0 - from) * warmed)
     }
 
-    /// Between launches of one proxy to a cold server. What it bears is known from its forerunner, else taken
-    /// to be the least that a warm one has borne.
-    fn cold_gap(&self, now: Duration, figures: &Figures, warm: f64) -> Duration {
-        let Some(level) = self.cold_level(now, figures) else { return Duration::ZERO };
-        let bears = if self.borne > 0.0 { self.borne } else { warm };
-        let rate = (bears * level * figures.cold_multiple).max(LOWEST_RATE);
-        Duration::from_secs_f64(figures.proxies / rate)
+    /// Between launches of one proxy to a cold server.
+    fn cold_gap(&self, now: Duration) -> Duration {
+        let Some(level) = self.cold_level(now) else { return Duration::ZERO };
+        let rate = (self.borne * level * self.figures.cold_multiple).max(LOWEST_RATE);
+        Duration::from_secs_f64(self.figures.proxies / rate)
     }
 
     /// Between launches of one proxy, where all together are to send this share of what the server has borne.
-    fn gap(&self, figures: &Figures, share: f64) -> Duration {
-        if self.borne == 0.0 {
-            return Duration::ZERO;
-        }
-        Duration::from_secs_f64(figures.proxies / (share * self.borne.max(1.0)))
-    }
-
-    fn next_trial(&self, figures: &Figures, chance: f64) -> Duration {
-        figures.silence.max(self.gap(figures, TRIAL_SHARE).mul_f64(chance))
-    }
-
-    /// A turn comes each gap, by lot, and lapses soon: else all would have one saved up when a surge begins.
-    fn takes_overflow(&self, now: Duration, figures: &Figures) -> bool {
-        let gap = self.gap(figures, OVERFLOW_SHARE).as_secs_f64();
-        let Some(unused) = now.checked_sub(self.overflow_at) else { return false };
-        gap == 0.0 || (unused.as_secs_f64() / gap + f64::from(self.lot) / f64::from(u32::MAX)).fract() < TURN
+    fn gap(&self, share: f64) -> Duration {
+        let told = if self.borne > 0.0 { self.figures.proxies } else { 0.0 };
+        Duration::from_secs_f64(told / (share * self.borne.max(1.0)))
     }
 
-    /// The earliest moment that its trial or its cold budget leaves for a launch.
-    fn next_launch(&self, figures: &Figures, warm: f64) -> Duration {
-        let gap = self.cold_gap(self.last_launch, figures, warm);
-        self.trial_at.unwrap_or_default().max(self.opens_at).max(self.last_launch + gap)
+    /// To its next trial: chance keeps the proxies from trying as one.
+    fn next_trial(&mut self, least: f64) -> Duration {
+        self.figures.silence.max(self.gap(TRIAL_SHARE).mul_f64(least + self.pcg.share()))
     }
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -119,7 +119,7 @@
 
     fn free(&mut self, name: &str, lines: f64) -> &mut Self {
         let report = LoadReport { free_lines: Some(lines), ..LoadReport::default() };
-        self.brain.reported(ms(self.trace.now), &server(name), &report, false, &mut self.trace);
+        self.brain.reported(ms(self.trace.now), &server(name), &report, &mut self.trace);
         self
     }
 
