--- a/src/brain.rs
+++ b/src/brain.rs
@@ -6,12 +6,13 @@
 //!
 //! The design: a dialogue goes to its first choice while that server qualifies, else to the qualifying
 //! server with the most estimated free lines (told free less own placed since). Beside it stand:
-//! 1. Limit: set-ups unanswered at a server, plus one for a full round in ease, cut by a share on strain.
+//! 1. Limit: set-ups unanswered at a server, below 1 its share of the dialogues; grows by one a round while
+//!    waits, met or told, are in ease, is cut by a share on strain, and then the server rests for the excess.
 //! 2. Waiting room: a dialogue that finds no server waits here, higher gain first, while it has hope.
 //! 3. Quotas: of a tenant that asks more than its part, the excess counts little and so comes last.
 //! 4. Silence: a server that answers nothing, is out of reach or fails all is set aside until a trial.
-//! 5. Lost launches: one that later ones overtake is called off and goes elsewhere.
-//! 6. Cold budget: launches to a server just started are spaced by what its forerunner bore.
+//! 5. Lost launches: one overtaken, or long unanswered without strain, is called off and goes elsewhere.
+//! 6. Budgets: starts, trials and overflow are spaced by what a server bore, shared by the number of proxies.
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -28,9 +29,8 @@
 const HEADROOM: f64 = 8.0;
 /// The part of what a server has borne that all proxies together may spend on trials there.
 const TRIAL_SHARE: f64 = 0.2;
-/// The same for dialogues whose first choice is another.
+/// The same for dialogues whose first choice is another; a turn for one lasts so much of the gap.
 const OVERFLOW_SHARE: f64 = 3.0;
-/// The part of the gap for which a turn lasts.
 const TURN: f64 = 0.25;
 /// The part of a cold server's budget that is used: the rest is for chance and for unequal proxies.
 const COLD_MARGIN: f64 = 0.85;
@@ -44,9 +44,8 @@
 const NEWEST_DIALOGUE: f64 = 0.01;
 /// The most that a server has borne fades over this time, in seconds.
 const BORNE_SPAN: f64 = 60.0;
-/// Lines in use are reckoned up after so many seconds at least.
+/// Lines in use are reckoned up after so many seconds; coming at these times the most borne is a surge.
 const RECKONING: f64 = 0.5;
-/// More dialogues coming to a server than this times the most it has borne are a surge.
 const SURGE: f64 = 1.5;
 
 /// The figures that decisions use, made from the route plan at start.
@@ -56,15 +55,15 @@
     tick: Duration,
     release: Duration,
     proxies: f64,
-    /// This proxy's part of the headroom: with many proxies what each may add counts as many times.
+    /// This proxy's part of the headroom.
     headroom: f64,
     /// How long a dialogue lasts, over the products.
     lasts: f64,
-    /// The times of what it has borne that is a surge; it feeds itself only where what waits is sent again.
+    /// A surge feeds itself only where what waits is sent again by itself; else infinite.
     surge: f64,
     /// A wait above this is strain and cuts a limit.
     ease: Duration,
-    /// Launches out and no sign of life for this long is silence, however short the usual wait.
+    /// No sign of life for this long is silence, however short the usual wait.
     silence: Duration,
     max_launches: u32,
     marks_again: bool,
@@ -72,11 +71,9 @@
     come_back: Option<Duration>,
     cold_share: f64,
     warm_after: Duration,
-    /// The multiple of its present capacity that a cold server may be sent.
     cold_multiple: f64,
 }
 
-/// All that is known of a core server.
 struct Server {
     figures: Rc<Figures>,
     pcg: Pcg,
@@ -104,7 +101,7 @@
     /// Smoothed time to an answer, and its spread.
     usual: Duration,
     spread: Duration,
-    /// The most dialogues a second that all proxies placed there, its forerunner's included; when that was last
+    /// The most dialogues a second that all proxies placed there or at its forerunner, when that was last
     /// reckoned, and what they placed then.
     borne: f64,
     reckoned_at: Duration,
@@ -178,11 +175,10 @@
         let resend = if plan.resend.is_zero() { Duration::MAX } else { plan.resend };
         // Gains are measured by the least, as the lots are.
         let least = plan.products.iter().map(|p| p.gain).fold(f64::INFINITY, f64::min);
-        let quotas: f64 = plan.tenants.iter().map(|t| t.quota).sum();
-        let demand = |t: &Tenant| Demand { quota: t.quota / quotas, asked: t.quota / quotas };
-        let demands = plan.tenants.iter().map(demand).collect();
-        let lasts: f64 = plan.products.iter().map(|p| p.lasts.as_secs_f64()).sum();
-        let lasts = lasts / plan.products.len().max(1) as f64;
+        let all: f64 = plan.tenants.iter().map(|t| t.quota).sum();
+        let parts = plan.tenants.iter().map(|t| t.quota / all);
+        let demands = parts.map(|part| Demand { quota: part, asked: part }).collect();
+        let lasts = plan.products.iter().map(|p| p.lasts.as_secs_f64() / plan.products.len() as f64).sum();
         let figures = Rc::new(Figures {
             lasts,
             surge: if plan.resend.is_zero() { f64::INFINITY } else { SURGE },
@@ -217,7 +213,6 @@
 
     // Inputs
 
-    /// The list of core servers, whole or only what changed.
     pub fn listed(&mut self, now: Duration, whole: bool, entries: &[ListEntry], out: &mut dyn Signalling) {
         self.turn_to(now);
         if whole {
@@ -290,14 +285,12 @@
         self.settle(out);
     }
 
-    /// The caller has left.
     pub fn left(&mut self, now: Duration, id: &DialogueId, out: &mut dyn Signalling) {
         self.turn_to(now);
         self.let_go(id, out);
         self.settle(out);
     }
 
-    /// A core server told of itself outside an answer to a dialogue.
     pub fn reported(&mut self, now: Duration, id: &ServerId, report: &LoadReport, out: &mut dyn Signalling) {
         self.turn_to(now);
         if let Some(server) = self.servers.get_mut(id) {
@@ -306,7 +299,6 @@
         self.settle(out);
     }
 
-    /// The dialogue stands.
     pub fn stands(
         &mut self, now: Duration, id: &DialogueId, launch: LaunchNo, server: &ServerId,
         out: &mut dyn Signalling,
@@ -352,8 +344,7 @@
         if end.closed {
             self.dialogues.remove(&end.dialogue);
         } else if !self.dialogues.contains_key(&end.dialogue) {
-            // Called off in the moment it stood: the answer is owed again, and it is over here.
-            out.fail(&end.dialogue);
+            out.fail(&end.dialogue); // Called off in the moment it stood: the answer is owed again.
         } else if let Some(dialogue) = self.dialogues.get_mut(&end.dialogue)
             && dialogue.at.as_ref() == Some(&end.server)
             && dialogue.last_launch() == end.launch
@@ -385,7 +376,6 @@
         self.callers.retain(|_, (_, until)| *until > now);
     }
 
-    /// Goes through the rules until none fires, and once a tick while a dialogue is owed an answer.
     /// After an arrival at a moment already looked at, only the launching rule can fire.
     fn settle(&mut self, out: &mut dyn Signalling) {
         let rules = if self.look { &RULES[..] } else { &RULES[RULES.len() - 1..] };
@@ -407,8 +397,7 @@
         true
     }
 
-    /// A dialogue that can no longer stand within the promised time is refused at once: what it would
-    /// take is better spent on one that can.
+    /// What can no longer stand within the promised time is refused at once, to the good of what can.
     fn refuse_the_hopeless(&mut self, out: &mut dyn Signalling) -> bool {
         let spent = |d: &Dialogue| d.turned_back > 1 || d.launches >= self.figures.max_launches;
         let late = |d: &Dialogue| self.now.max(d.not_before) >= self.launch_by(d);
@@ -461,8 +450,9 @@
         let server = self.servers.get_mut(&server_id).expect("it was chosen");
         dialogue.launches += 1;
         server.launched(self.now, &id, dialogue);
-        let until = dialogue.answer_by + self.figures.tick * 2;
-        let until = if self.figures.surge.is_finite() { until } else { until.min(dialogue.promised) };
+        // Where nothing is sent again by itself, a late set-up is given up cheaply.
+        let late = if self.figures.surge.is_finite() { Duration::MAX } else { dialogue.promised };
+        let until = late.min(dialogue.answer_by + self.figures.tick * 2);
         out.launch(&id, &server_id, until.saturating_sub(self.now));
         dialogue.at = Some(server_id);
         true
@@ -571,9 +561,8 @@
             && now >= self.last_launch + self.cold_gap(self.last_launch)
     }
 
-    /// It has room for this dialogue. What others turn away comes to the emptiest from all proxies at once, so
-    /// together they send it a few times what it has borne: a turn comes each gap, by lot, and lapses soon, else
-    /// all would have one saved up when a surge begins.
+    /// It has room for this dialogue. What others turn away comes to the emptiest from all at once: proxies
+    /// take turns each gap, by lot, which lapse soon, else each had one saved up when a surge begins.
     fn covers(&self, now: Duration, dialogue: &Dialogue) -> bool {
         let turn =
             now.saturating_sub(self.overflow_at).as_secs_f64() / self.gap(OVERFLOW_SHARE).as_secs_f64();
@@ -637,8 +626,7 @@
         if (silent || at.is_some()) && self.trial_at.take().is_some() {
             self.limit = self.limit.min(1.0);
             if self.misses >= MISSES && self.cold_level(now).is_none() {
-                // It was down and has started before the list tells: cold from here.
-                self.started = Some(now);
+                self.started = Some(now); // It was down and has started before the list tells.
             }
             let wait = at.map(|at| now - at);
             out.log(&format!("server {} back: a sign of life, answer after {wait:?}", self.number.0));
@@ -651,7 +639,6 @@
         Some(at)
     }
 
-    /// A dialogue stood after this wait.
     fn learn(&mut self, now: Duration, wait: Duration) {
         if self.usual.is_zero() {
             (self.usual, self.spread) = (wait, wait / 2);
@@ -682,8 +669,8 @@
         self.cut(now, beyond);
     }
 
-    /// Strain: the limit falls, and what waits there beyond the ease is left time to be worked off. Others
-    /// see the same, so chance keeps them from coming back as one.
+    /// Strain: the limit falls, and what waits beyond the ease has time to be worked off; chance keeps the
+    /// proxies from coming back as one.
     fn cut(&mut self, now: Duration, beyond: Duration) {
         self.limit = (self.limit * CUT).max(LOWEST_LIMIT);
         self.opens_at = self.opens_at.max(now + beyond.mul_f64(0.5 + self.pcg.share()));
@@ -699,13 +686,12 @@
         self.usual + self.spread * 4
     }
 
-    /// How long it may keep silent.
     fn patience(&self) -> Duration {
         self.figures.silence.max(self.ordinary())
     }
 
-    /// When a launch out there counts as lost: overtaken and past the ordinary wait; or, where nothing is sent
-    /// again by itself, long unanswered at a server under no strain.
+    /// When a launch counts as lost: overtaken and past the ordinary wait; or, where nothing is sent again by
+    /// itself, long unanswered without strain.
     fn lost_at(&self, launch: &Out) -> Duration {
         match launch.overtaken {
             // Not in the same breath: its answer may be the next input.
@@ -724,7 +710,7 @@
         }
     }
 
-    /// The share of its capacity that a server just started is sure to have; none once warm.
+    /// The share of its capacity that a server just started surely has; none once warm.
     fn cold_level(&self, now: Duration) -> Option<f64> {
         let warmed = now.saturating_sub(self.started?).as_secs_f64() / self.figures.warm_after.as_secs_f64();
         let from = self.figures.cold_share;
