--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -215,11 +215,12 @@
     Ok(ServerId(Arc::from(fields.need("server")?)))
 }
 
-/// A turn-back bears its cause in the low four bits of the code; 1 is no free line.
+/// The low four bits of the code are the cause: of a turn-back 1, no free line; of a fault 4, the number is busy.
 fn launch_outcome(fields: &Fields) -> Result<Outcome> {
     let code: u32 = fields.get("clearCode").map_or(Ok(0), |text| parse("clearCode", text))?;
     Ok(match outcome(fields.need("outcome")?)? {
         Outcome::TurnedBack if code % 16 == 1 => Outcome::LinesTaken,
+        Outcome::Fault if code % 16 == 4 => Outcome::NumberBusy,
         other => other,
     })
 }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -93,6 +93,7 @@
     /// From when it may take another whose first choice is another server.
     overflow_at: Duration,
     last_sign: Duration,
+    last_break: Duration,
     /// Set aside: when its next trial may go.
     trial_at: Option<Duration>,
     /// Launches in a row that did not reach it, and that failed there.
@@ -315,10 +316,11 @@
 
     /// A launch has ended without standing, or a standing dialogue has ended.
     pub fn ended(&mut self, now: Duration, end: LaunchEnd, out: &mut dyn Signalling) {
+        use Outcome::{Ended, LinesTaken, NumberBusy, TurnedBack};
         self.turn_to(now);
         if let Some(server) = self.servers.get_mut(&end.server) {
             server.read(now, &end.report);
-            if matches!(end.outcome, Outcome::Ended | Outcome::LinesTaken | Outcome::TurnedBack) {
+            if matches!(end.outcome, Ended | LinesTaken | TurnedBack | NumberBusy) {
                 server.answered(now, &end.dialogue, end.launch, out);
             } else if server.take_out(&end.dialogue, end.launch).is_some() {
                 // One failure may be chance, and a server can fail some and serve the rest well; a run of
@@ -334,6 +336,12 @@
                 if server.misses >= MISSES || server.faults >= FAULTS {
                     server.set_aside(now, why, &end.server, out);
                 }
+            } else if end.outcome == Outcome::BrokenOff {
+                // Standing dialogues cut one upon the other: it has probably started anew before the list tells.
+                if now < server.last_break + self.figures.silence && server.cold_level(now).is_none() {
+                    server.started = Some(now);
+                }
+                server.last_break = now;
             }
             match end.outcome {
                 Outcome::TurnedBack => server.full(now, self.figures.silence * 2),
@@ -358,6 +366,8 @@
                     dialogue.shunned = Some(end.server);
                 }
                 Outcome::Unreachable | Outcome::Fault => dialogue.shunned = Some(end.server),
+                // Another server reaches the same number: it is refused at once.
+                Outcome::NumberBusy => dialogue.launches = self.figures.max_launches,
                 _ => dialogue.turned_back += 1,
             }
         }
@@ -536,6 +546,7 @@
             last_launch: Duration::ZERO,
             overflow_at: Duration::ZERO,
             last_sign: now,
+            last_break: Duration::ZERO,
             trial_at: None,
             misses: 0,
             faults: 0,
@@ -625,9 +636,6 @@
         let silent = self.misses < MISSES && self.faults < FAULTS && self.limit >= 1.0;
         if (silent || at.is_some()) && self.trial_at.take().is_some() {
             self.limit = self.limit.min(1.0);
-            if self.misses >= MISSES && self.cold_level(now).is_none() {
-                self.started = Some(now); // It was down and has started before the list tells.
-            }
             let wait = at.map(|at| now - at);
             out.log(&format!("server {} back: a sign of life, answer after {wait:?}", self.number.0));
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -134,6 +134,8 @@
 pub enum Outcome {
     Ended,
     Fault,
+    /// All lines of the dialled number are busy, whichever server sets it up.
+    NumberBusy,
     /// No line free there.
     LinesTaken,
     /// Turned back for another cause: too long a wait at its processor.
