--- a/src/brain.rs
+++ b/src/brain.rs
@@ -34,9 +34,8 @@
 const TURN: f64 = 0.25;
 /// The part of a cold server's budget that is used: the rest is for chance and for unequal proxies.
 const COLD_MARGIN: f64 = 0.85;
-/// So many launches running that do not reach a server, or fail there, put it aside: more than chance brings.
-const MISSES: u32 = 2;
-const FAULTS: u32 = 16;
+/// So many failures running, more than chance brings, put a server aside; out of reach counts as half.
+const FAILURES: u32 = 16;
 /// A cold server of which nothing is known may be sent so many launches a second, by all proxies together.
 const LOWEST_RATE: f64 = 5.0;
 /// Weight of the newest answer in a smoothed figure, and of the newest dialogue in the tenants' parts.
@@ -57,13 +56,11 @@
     proxies: f64,
     /// This proxy's part of the headroom.
     headroom: f64,
-    /// How long a dialogue lasts, over the products.
-    lasts: f64,
+    lasts: f64, // the mean length of a dialogue, in seconds
     /// A surge feeds itself only where what waits is sent again by itself; else infinite.
     surge: f64,
     /// A wait above this is strain and cuts a limit.
     ease: Duration,
-    /// No sign of life for this long is silence, however short the usual wait.
     silence: Duration,
     max_launches: u32,
     marks_again: bool,
@@ -96,9 +93,8 @@
     last_break: Duration,
     /// Set aside: when its next trial may go.
     trial_at: Option<Duration>,
-    /// Launches in a row that did not reach it, and that failed there.
-    misses: u32,
-    faults: u32,
+    /// Launches in a row that did not reach it or failed there.
+    failures: u32,
     /// Smoothed time to an answer, and its spread.
     usual: Duration,
     spread: Duration,
@@ -131,7 +127,6 @@
     lot: f64,
     turned_back: u32,
     launches: u32,
-    /// Where its launch is out, and whether that was called off.
     at: Option<ServerId>,
     called_off: bool,
     /// Where its last launch was lost: taken again only where no other server qualifies.
@@ -154,14 +149,14 @@
     dialogues: BTreeMap<DialogueId, Dialogue>,
     /// Callers let go who may dial again: when they first dialled, and until when they may.
     callers: BTreeMap<DialledKey, (Duration, Duration)>,
-    /// Something beyond arrivals has changed since the rules were last gone through.
+    /// More than an arrival has come since the rules were last gone through.
     look: bool,
     alarm_set: bool,
 }
 
 type Rule = fn(&mut Brain, &mut dyn Signalling) -> bool;
 
-/// Each rule is a condition and an effect and tells whether it fired.
+/// Each is a condition and an effect and tells whether it fired.
 const RULES: [Rule; 5] = [
     Brain::answer_before_the_cut_off,
     Brain::refuse_the_hopeless,
@@ -226,8 +221,7 @@
                 (server.number, server.listed) = (entry.number, entry.listed);
                 continue;
             }
-            // New, or a new start under the old id: nothing learned holds but what such a server bears,
-            // known from its forerunner, else taken to be the least that a warm one has borne.
+            // New, or started anew: what it bears is known from its forerunner, else the least of the warm.
             let same = self.servers.values().filter(|s| s.number == entry.number);
             let same = same.map(|s| s.borne).max_by(f64::total_cmp).filter(|borne| *borne > 0.0);
             let warm = self.servers.values().filter(|s| s.cold_level(now).is_none());
@@ -325,19 +319,17 @@
             } else if server.take_out(&end.dialogue, end.launch).is_some() {
                 // One failure may be chance, and a server can fail some and serve the rest well; a run of
                 // them is a server down, or one that fails all so quickly that it would draw everything.
-                match end.outcome {
-                    Outcome::Unreachable => server.misses += 1,
-                    Outcome::Fault | Outcome::BrokenOff => {
-                        (server.last_sign, server.faults) = (now, server.faults + 1);
-                    }
-                    _ => {}
-                }
-                let why = if server.misses >= MISSES { "out of reach" } else { "fails all" };
-                if server.misses >= MISSES || server.faults >= FAULTS {
+                let (failures, why, sign) = match end.outcome {
+                    Outcome::Unreachable => (FAILURES / 2, "out of reach", server.last_sign),
+                    Outcome::Fault | Outcome::BrokenOff => (1, "fails all", now),
+                    _ => (0, "", server.last_sign),
+                };
+                (server.failures, server.last_sign) = (server.failures + failures, sign);
+                if server.failures >= FAILURES && failures > 0 {
                     server.set_aside(now, why, &end.server, out);
                 }
             } else if end.outcome == Outcome::BrokenOff {
-                // Standing dialogues cut one upon the other: it has probably started anew before the list tells.
+                // Standing dialogues cut in a run: it has probably started anew before the list tells.
                 if now < server.last_break + self.figures.silence && server.cold_level(now).is_none() {
                     server.started = Some(now);
                 }
@@ -548,8 +540,7 @@
             last_sign: now,
             last_break: Duration::ZERO,
             trial_at: None,
-            misses: 0,
-            faults: 0,
+            failures: 0,
             usual: Duration::ZERO,
             spread: Duration::ZERO,
             borne,
@@ -633,7 +624,7 @@
         self.last_sign = now;
         let at = self.take_out(id, launch);
         // The end of a standing dialogue breaks a silence too, but says nothing of set-ups that fail or jam.
-        let silent = self.misses < MISSES && self.faults < FAULTS && self.limit >= 1.0;
+        let silent = self.failures < FAILURES && self.limit >= 1.0;
         if (silent || at.is_some()) && self.trial_at.take().is_some() {
             self.limit = self.limit.min(1.0);
             let wait = at.map(|at| now - at);
@@ -643,7 +634,7 @@
         for earlier in self.out.iter_mut().filter(|o| o.at < at) {
             earlier.overtaken.get_or_insert(now);
         }
-        (self.misses, self.faults) = (0, 0);
+        self.failures = 0;
         Some(at)
     }
 
