--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -67,6 +67,10 @@
 
 /// Two products: plain (gain 1) and dear (gain 6). Servers a, b, ... have the numbers 0, 1, ...
 fn night(servers: &str) -> Night {
+    night_of(4, servers)
+}
+
+fn night_of(proxies: u32, servers: &str) -> Night {
     let product = |promised, gain| Product {
         promised: ms(promised),
         lasts: ms(8000),
@@ -76,7 +80,7 @@
         servers: None,
     };
     let plan = RoutePlan {
-        proxies: 4,
+        proxies,
         products: vec![product(1500, 1.0), product(900, 6.0)],
         tenants: vec![Tenant { quota: 30.0 }, Tenant { quota: 10.0 }],
         over_quota_share: 0.2,
@@ -123,6 +127,21 @@
         self
     }
 
+    /// So many of a thousand lines are free.
+    fn lines(&mut self, name: &str, free: f64) -> &mut Self {
+        let report = LoadReport { free_lines: Some(free), lines: Some(1000.0), ..LoadReport::default() };
+        self.brain.reported(ms(self.trace.now), &server(name), &report, &mut self.trace);
+        self.at(self.trace.now + 600);
+        self.brain.reported(ms(self.trace.now), &server(name), &report, &mut self.trace);
+        self
+    }
+
+    fn waits(&mut self, name: &str, wait: u64) -> &mut Self {
+        let report = LoadReport { wait: Some(ms(wait)), ..LoadReport::default() };
+        self.brain.reported(ms(self.trace.now), &server(name), &report, &mut self.trace);
+        self
+    }
+
     fn dial_until(&mut self, name: &str, cut_off: u64) -> &mut Self {
         let arrival = Arrival { cut_off: ms(cut_off), ..self.arrival(name, 0, 0, false) };
         self.brain.arrived(ms(self.trace.now), arrival, &mut self.trace);
@@ -164,12 +183,16 @@
     }
 
     fn ends(&mut self, name: &str, launch: u32, at: &str, outcome: Outcome) -> &mut Self {
+        self.over(name, launch, at, outcome, outcome == Outcome::Ended)
+    }
+
+    fn over(&mut self, name: &str, launch: u32, at: &str, outcome: Outcome, closed: bool) -> &mut Self {
         let end = LaunchEnd {
             dialogue: dialogue(name),
             launch: LaunchNo(launch),
             server: server(at),
             outcome,
-            closed: outcome == Outcome::Ended,
+            closed,
             report: LoadReport::default(),
         };
         self.brain.ended(ms(self.trace.now), end, &mut self.trace);
@@ -381,3 +404,73 @@
     night.at(620).dial("d6", 0).stands("d6", "b").at(1600).dial("d7", 0).at(1650).stands("d7", "a");
     assert_snapshot!(night.told());
 }
+
+/// With 200 proxies, what others turn away comes to a server by turns: not from everyone at once.
+#[test]
+fn overflow_takes_turns_where_proxies_are_many() {
+    let mut night = night_of(200, "ab");
+    night.lines("a", 0.0).lines("b", 400.0);
+    for n in 0..8 {
+        let name = format!("d{n}");
+        night.at(2000 + 200 * n).dial(&name, 0).stands(&name, "b");
+    }
+    assert_snapshot!(night.told());
+}
+
+/// A wait told beyond the ease cuts the limit and rests the server; below 1 it is a share of the dialogues, by
+/// lot over gain, and a wait told in ease gives a cut back.
+#[test]
+fn a_told_wait_leaves_a_share_by_lot_over_gain() {
+    let mut night = night_of(200, "a");
+    night.lines("a", 400.0).waits("a", 2000).at(4000).waits("a", 2000).at(9000);
+    for n in 0..6 {
+        night.dial(&format!("p{n}"), 0).stands(&format!("p{n}"), "a");
+    }
+    night.dial_as("dear", 1, 0, false).stands("dear", "a").waits("a", 10).waits("a", 10).waits("a", 10);
+    assert_snapshot!(night.told());
+}
+
+/// Want of lines is no jam: the server rests only until it tells of free lines.
+#[test]
+fn want_of_lines_rests_a_server_until_its_next_report() {
+    let mut night = night("a");
+    night.dial("d1", 0).at(20).ends("d1", 0, "a", Outcome::LinesTaken).dial("d2", 0);
+    night.at(60).free("a", 2.0).at(100).stands("d1", "a");
+    assert_snapshot!(night.told());
+}
+
+/// All lines of the number are busy: no other server reaches it either, so it is refused at once.
+#[test]
+fn a_busy_number_is_refused_at_once() {
+    let mut night = night("ab");
+    night.dial("d1", 0).at(20).ends("d1", 0, "a", Outcome::NumberBusy).dial("d2", 0);
+    assert_snapshot!(night.told());
+}
+
+/// Standing dialogues cut in a run: the server has started anew, though the list does not tell it yet.
+#[test]
+fn cuts_in_a_run_mean_a_cold_start() {
+    let mut night = night_of(200, "a");
+    night.lines("a", 400.0).dial("d1", 0).at(640).stands("d1", "a").dial("d2", 0).at(680).stands("d2", "a");
+    night.at(9000).over("d1", 0, "a", Outcome::BrokenOff, true);
+    night.at(9100).over("d2", 0, "a", Outcome::BrokenOff, true);
+    night.dial("d3", 0).at(10_000).dial("d4", 0).at(20_000);
+    assert_snapshot!(night.told());
+}
+
+/// Trials of 200 proxies at a silent server come far apart; the end of a standing dialogue ends the silence.
+#[test]
+fn many_proxies_try_a_silent_server_seldom() {
+    let mut night = night_of(200, "a");
+    night
+        .lines("a", 400.0)
+        .dial("d0", 0)
+        .at(640)
+        .stands("d0", "a")
+        .at(1000)
+        .dial("d1", 0)
+        .at(2000)
+        .dial("d2", 0);
+    night.at(5000).dial("d3", 0).at(6000).ends("d0", 0, "a", Outcome::Ended).dial("d4", 0).at(6100);
+    assert_snapshot!(night.told());
+}
