--- a/src/brain.rs
+++ b/src/brain.rs
@@ -574,7 +574,7 @@
             && (self.limit >= 1.0 || dialogue.lot < self.limit || now >= tried)
             && (self.number == dialogue.first_choice
                 || self.borne == 0.0
-                || now >= self.overflow_at && turn < TURN)
+                || now >= self.overflow_at && turn < TURN.max(self.figures.headroom))
     }
 
     fn read(&mut self, now: Duration, report: &LoadReport) {
