--- a/src/brain.rs
+++ b/src/brain.rs
@@ -33,7 +33,7 @@
 const OVERFLOW_SHARE: f64 = 3.0;
 const TURN: f64 = 0.25;
 /// The part of a cold server's budget that is used: the rest is for chance and for unequal proxies.
-const COLD_MARGIN: f64 = 0.85;
+const COLD_MARGIN: f64 = 0.95;
 /// So many failures running, more than chance brings, put a server aside; out of reach counts as half.
 const FAILURES: u32 = 16;
 /// A cold server of which nothing is known may be sent so many launches a second, by all proxies together.
@@ -152,7 +152,6 @@
     /// More than an arrival has come since the rules were last gone through.
     look: bool,
     alarm_set: bool,
-    read_at: Duration,
 }
 
 type Rule = fn(&mut Brain, &mut dyn Signalling) -> bool;
@@ -205,7 +204,6 @@
             callers: BTreeMap::new(),
             look: true,
             alarm_set: false,
-            read_at: Duration::ZERO,
         }
     }
 
@@ -304,7 +302,6 @@
         self.dialogues.remove(id);
         if let Some(server) = self.servers.get_mut(server)
             && let Some(at) = server.answered(now, id, launch, out)
-            && now > self.read_at
         {
             server.learn(now, now - at);
         }
@@ -352,7 +349,8 @@
             && dialogue.at.as_ref() == Some(&end.server)
             && dialogue.last_launch() == end.launch
         {
-            (dialogue.at, dialogue.called_off) = (None, false);
+            dialogue.at = None;
+            dialogue.called_off = false;
             match end.outcome {
                 // What it held may stay taken until the release (rule 5).
                 Outcome::TimedOut | Outcome::BrokenOff | Outcome::CalledOff => {
@@ -375,10 +373,8 @@
     }
 
     fn turn_to(&mut self, now: Duration) {
-        // An alarm long overdue: the proxy stood still, and what came meanwhile is read before anything is judged.
-        let stood_still = self.alarm_set && now > self.now + self.figures.silence / 4;
-        self.read_at = if stood_still { now } else { self.read_at };
-        (self.look, self.now) = (true, now);
+        self.look = true;
+        self.now = now;
         self.callers.retain(|_, (_, until)| *until > now);
     }
 
@@ -417,9 +413,7 @@
     fn set_the_silent_aside(&mut self, out: &mut dyn Signalling) -> bool {
         let silent = self.servers.iter_mut().find(|(_, s)| {
             let since = s.in_turn().next().map(|oldest| s.last_sign.max(oldest.at));
-            self.now > self.read_at
-                && s.trial_at.is_none()
-                && since.is_some_and(|t| self.now >= t + s.patience())
+            s.trial_at.is_none() && since.is_some_and(|t| self.now >= t + s.patience())
         });
         let Some((id, server)) = silent else { return false };
         server.set_aside(self.now, "silent", id, out);
@@ -432,7 +426,6 @@
         let lost = self.dialogues.iter_mut().find(|(id, d)| {
             let server = d.at.as_ref().and_then(|at| self.servers.get(at));
             figures.may_cancel
-                && now > self.read_at
                 && !d.called_off
                 && now + figures.release < d.promised
                 && server.is_some_and(|s| s.out.iter().any(|o| o.dialogue == **id && now >= s.lost_at(o)))
