--- a/src/brain.rs
+++ b/src/brain.rs
@@ -582,7 +582,8 @@
             (self.told_free, self.placed_since) = (Some(free), 0.0);
         }
         // A queue lasts as long as it takes at the told rate, else at the rate that the lines in use tell.
-        let placed = report.lines.zip(report.free_lines).map(|(all, free)| (all - free) / self.figures.lasts);
+        let in_use = report.lines.zip(report.free_lines).filter(|_| self.figures.lasts > 0.0);
+        let placed = in_use.map(|(all, free)| (all - free) / self.figures.lasts);
         let since = (now - self.reckoned_at).as_secs_f64();
         if let Some(placed) = placed.filter(|_| since >= RECKONING && self.cold_level(now).is_none()) {
             // What comes is what goes, at the mean length, and what the lines in use have grown by.
