--- a/src/brain.rs
+++ b/src/brain.rs
@@ -45,7 +45,7 @@
 const BORNE_SPAN: f64 = 60.0;
 /// Lines in use are reckoned up after so many seconds; coming at these times the most borne is a surge.
 const RECKONING: f64 = 0.5;
-const SURGE: f64 = 1.1;
+const SURGE: f64 = 1.25;
 
 /// The figures that decisions use, made from the route plan at start.
 struct Figures {
