--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -67,10 +67,10 @@
 
 /// Two products: plain (gain 1) and dear (gain 6). Servers a, b, ... have the numbers 0, 1, ...
 fn night(servers: &str) -> Night {
-    night_of(4, servers)
+    night_of(4, 0, servers)
 }
 
-fn night_of(proxies: u32, servers: &str) -> Night {
+fn night_of(proxies: u32, resend: u64, servers: &str) -> Night {
     let product = |promised, gain| Product {
         promised: ms(promised),
         lasts: ms(8000),
@@ -86,7 +86,7 @@
         over_quota_share: 0.2,
         tick: ms(5),
         release: ms(300),
-        resend: ms(0),
+        resend: ms(resend),
         max_launches: 4,
         marks_again: true,
         may_cancel: true,
@@ -408,7 +408,7 @@
 /// With 200 proxies, what others turn away comes to a server by turns: not from everyone at once.
 #[test]
 fn overflow_takes_turns_where_proxies_are_many() {
-    let mut night = night_of(200, "ab");
+    let mut night = night_of(200, 0, "ab");
     night.lines("a", 0.0).lines("b", 400.0);
     for n in 0..8 {
         let name = format!("d{n}");
@@ -421,7 +421,7 @@
 /// lot over gain, and a wait told in ease gives a cut back.
 #[test]
 fn a_told_wait_leaves_a_share_by_lot_over_gain() {
-    let mut night = night_of(200, "a");
+    let mut night = night_of(200, 0, "a");
     night.lines("a", 400.0).waits("a", 2000).at(4000).waits("a", 2000).at(9000);
     for n in 0..6 {
         night.dial(&format!("p{n}"), 0).stands(&format!("p{n}"), "a");
@@ -450,7 +450,7 @@
 /// Standing dialogues cut in a run: the server has started anew, though the list does not tell it yet.
 #[test]
 fn cuts_in_a_run_mean_a_cold_start() {
-    let mut night = night_of(200, "a");
+    let mut night = night_of(200, 0, "a");
     night.lines("a", 400.0).dial("d1", 0).at(640).stands("d1", "a").dial("d2", 0).at(680).stands("d2", "a");
     night.at(9000).over("d1", 0, "a", Outcome::BrokenOff, true);
     night.at(9100).over("d2", 0, "a", Outcome::BrokenOff, true);
@@ -461,7 +461,7 @@
 /// Trials of 200 proxies at a silent server come far apart; the end of a standing dialogue ends the silence.
 #[test]
 fn many_proxies_try_a_silent_server_seldom() {
-    let mut night = night_of(200, "a");
+    let mut night = night_of(200, 0, "a");
     night
         .lines("a", 400.0)
         .dial("d0", 0)
@@ -474,3 +474,15 @@
     night.at(5000).dial("d3", 0).at(6000).ends("d0", 0, "a", Outcome::Ended).dial("d4", 0).at(6100);
     assert_snapshot!(night.told());
 }
+
+/// Where what waits is sent again, told lines that fill fast cut the limit before any wait is met.
+#[test]
+fn lines_that_fill_fast_are_a_surge() {
+    let mut night = night_of(200, 500, "a");
+    night.lines("a", 600.0).at(2000).lines("a", 500.0).lines("a", 400.0).lines("a", 300.0);
+    for n in 0..8 {
+        let name = format!("d{n}");
+        night.at(5600 + n).dial(&name, 0).stands(&name, "a");
+    }
+    assert_snapshot!(night.told());
+}
