--- /dev/null
+++ b/crates/day/src/lib.rs
@@ -0,0 +1,1 @@
+//! Day files, troubles, the tapped wire, and the two drivers that play a day.
--- /dev/null
+++ b/crates/edge/src/edge.rs
@@ -0,0 +1,667 @@
+//! Inputs of an edge proxy, each turned straight into calls on the module.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use lotussaddle::brain::Brain;
+use lotussaddle::interface::*;
+use lotussaddle_trunk::{Cause, Dial, End, Entry, Frame, Hello, Message, NotTaken, Role, VERSION};
+
+use crate::hands::{Hands, State};
+use crate::held::{At, Concluded, Counts, Dues, Held, Limits};
+use crate::links::{Far, Kind, Link};
+use crate::{LinkId, Note, Wires};
+
+/// How often links are looked at for silence.
+const SWEEP: Duration = Duration::from_millis(250);
+/// Between tries to reach the list.
+const LIST_AGAIN: Duration = Duration::from_millis(200);
+/// More lines than this no dialogue takes.
+const WIDEST: f64 = 10_000.0;
+
+pub struct Edge {
+    name: Arc<str>,
+    list: Arc<str>,
+    products: usize,
+    tenants: usize,
+    brain: Brain,
+    state: State,
+    /// When links are looked at again, and when the list is tried again.
+    sweep_at: Duration,
+    list_at: Option<Duration>,
+}
+
+impl Edge {
+    /// `list` is the address of the pool list.
+    pub fn new(name: &str, list: &str, plan: RoutePlan, seed: u64, limits: Limits) -> Self {
+        let state = State {
+            limits,
+            now: Duration::ZERO,
+            held: HashMap::new(),
+            links: BTreeMap::new(),
+            fresh: VecDeque::new(),
+            callers: 0,
+            servers: BTreeMap::new(),
+            dues: Dues::default(),
+            concluded: Concluded::default(),
+            counts: Counts::default(),
+            alarm: None,
+            ends: VecDeque::new(),
+            broken: VecDeque::new(),
+        };
+        Self {
+            name: Arc::from(name),
+            list: Arc::from(list),
+            products: plan.products.len(),
+            tenants: plan.tenants.len(),
+            brain: Brain::new(plan, seed),
+            state,
+            sweep_at: Duration::ZERO,
+            list_at: Some(Duration::ZERO),
+        }
+    }
+
+    pub fn counts(&self) -> &Counts {
+        &self.state.counts
+    }
+
+    /// Dialogues held, standing ones included; links; concluded dialogues remembered.
+    pub fn sizes(&self) -> (usize, usize, usize) {
+        (self.state.held.len(), self.state.links.len(), self.state.concluded.len())
+    }
+
+    /// When `alarm` is to be called next.
+    pub fn next_due(&self) -> Duration {
+        let dues = [self.state.alarm, self.state.dues.first(), self.list_at];
+        dues.into_iter().flatten().fold(self.sweep_at, Duration::min)
+    }
+
+    // Inputs
+
+    /// A link has come in.
+    pub fn linked(&mut self, now: Duration, link: LinkId, wires: &mut dyn Wires) {
+        self.state.now = now;
+        if self.state.callers >= self.state.limits.links {
+            self.state.counts.links_closed += 1;
+            wires.close(link, "too many links");
+            return;
+        }
+        self.state.callers += 1;
+        self.state.links.insert(link, Link::new(Kind::Fresh, now));
+        self.state.fresh.push_back(link);
+        if self.state.fresh.len() > self.state.limits.fresh
+            && let Some(oldest) = self.state.fresh.front().copied()
+        {
+            self.drop_link(oldest, "too many links that say no hello", wires);
+        }
+    }
+
+    /// A link that was begun from here is up.
+    pub fn connected(&mut self, now: Duration, link: LinkId, wires: &mut dyn Wires) {
+        self.state.now = now;
+        if self.state.links.contains_key(&link) {
+            let hello = Hello { version: VERSION, role: Role::Edge, name: self.name.clone() };
+            self.hands(wires).say(link, Frame::Hello(hello));
+        }
+        self.settle(wires);
+    }
+
+    /// A link has gone, or did not come up.
+    pub fn lost(&mut self, now: Duration, link: LinkId, why: &str, wires: &mut dyn Wires) {
+        self.state.now = now;
+        self.forget_link(link, why, wires);
+        self.settle(wires);
+    }
+
+    pub fn heard(&mut self, now: Duration, link: LinkId, message: Message, wires: &mut dyn Wires) {
+        self.state.now = now;
+        let Some(known) = self.state.links.get_mut(&link) else { return };
+        (known.heard, known.asked) = (now, false);
+        match (&known.kind, known.greeted, message.frame) {
+            (_, _, Frame::Ping { nonce }) => self.hands(wires).say(link, Frame::Pong { nonce }),
+            (_, _, Frame::Pong { .. }) => {}
+            (_, _, Frame::Bye { why }) => self.drop_link(link, &format!("said good-bye: {why}"), wires),
+            (_, false, Frame::Hello(hello)) => self.greeted(link, hello, wires),
+            (_, false, _) => self.drop_link(link, "spoke before it said hello", wires),
+            (Kind::Caller(_), true, Frame::Dial(dial)) => self.dialled(link, dial, message.extra, wires),
+            (Kind::Caller(_), true, Frame::HangUp { dialogue }) => {
+                if self.state.held.get(&dialogue).is_some_and(|held| held.link == link) {
+                    self.hung_up(&dialogue, wires);
+                }
+            }
+            (Kind::Core(server), true, frame) => {
+                let server = server.clone();
+                if !self.core_said(link, &server, frame, wires) {
+                    self.drop_link(link, "said what is not a core server's to say", wires);
+                }
+            }
+            (Kind::List, true, Frame::List { whole, entries }) => self.listed(whole, entries, wires),
+            _ => self.drop_link(link, "said what is not its to say", wires),
+        }
+        self.settle(wires);
+    }
+
+    /// The time given by `next_due` has come.
+    pub fn alarm(&mut self, now: Duration, wires: &mut dyn Wires) {
+        self.state.now = now;
+        while let Some((id, launch)) = self.state.dues.pop(now) {
+            self.timed_out(&id, launch, wires);
+        }
+        if self.state.alarm.is_some_and(|at| at <= now) {
+            self.state.alarm = None;
+            let mut hands = Hands { state: &mut self.state, wires };
+            self.brain.alarm(now, TimerId(0), &mut hands);
+        }
+        if self.list_at.is_some_and(|at| at <= now) {
+            self.list_at = None;
+            let link = wires.connect(&self.list);
+            self.state.links.insert(link, Link::new(Kind::List, now));
+        }
+        if self.sweep_at <= now {
+            self.sweep_at = now + SWEEP;
+            self.sweep(wires);
+        }
+        self.settle(wires);
+    }
+
+    // Callers
+
+    fn greeted(&mut self, link: LinkId, hello: Hello, wires: &mut dyn Wires) {
+        let known = self.state.links.get_mut(&link).expect("it was looked up");
+        let wrong = match (&known.kind, hello.role) {
+            _ if hello.version != VERSION => Some(format!("speaks version {}, not {VERSION}", hello.version)),
+            (Kind::Fresh, Role::Caller) => {
+                known.kind = Kind::Caller(hello.name);
+                None
+            }
+            (Kind::Core(server), Role::Core) if server.0 != hello.name => {
+                Some(format!("is {}, not {}", hello.name, server.0))
+            }
+            (Kind::Core(_), Role::Core) | (Kind::List, Role::List) => None,
+            (_, role) => Some(format!("is a {role:?}")),
+        };
+        if let Some(wrong) = wrong {
+            return self.drop_link(link, &wrong, wires);
+        }
+        known.greeted = true;
+        match &known.kind {
+            Kind::Caller(_) => {
+                self.state.fresh.retain(|fresh| *fresh != link);
+                let hello = Hello { version: VERSION, role: Role::Edge, name: self.name.clone() };
+                self.hands(wires).say(link, Frame::Hello(hello));
+            }
+            Kind::Core(server) => {
+                let far = self.state.servers.get_mut(server).filter(|far| far.link == Some(link));
+                let queued = far.map(|far| std::mem::take(&mut far.queued)).unwrap_or_default();
+                let server = server.clone();
+                for id in queued {
+                    if !self.hands(wires).send_launch(&id, link) {
+                        self.unreached(&id, &server, wires);
+                    }
+                }
+            }
+            Kind::List | Kind::Fresh => {}
+        }
+    }
+
+    fn unreached(&mut self, id: &DialogueId, server: &ServerId, wires: &mut dyn Wires) {
+        let at = self.state.held.get(id).map(|held| &held.at);
+        if let Some(&At::Out { launch, .. }) = at {
+            let mut hands = self.hands(wires);
+            hands.launch_over(id);
+            hands.end(id, launch, server, Outcome::Unreachable);
+        }
+    }
+
+    fn dialled(
+        &mut self, link: LinkId, dial: Dial, extra: Vec<lotussaddle_trunk::Extra>, wires: &mut dyn Wires,
+    ) {
+        let id = dial.dialogue.clone();
+        let why = if let Some(held) = self.state.held.get(&id) {
+            if held.link == link {
+                self.state.counts.repeats += 1; // It is in already, and will have its answer.
+                return;
+            }
+            match self.take_over(&id, link) {
+                None => return,
+                why => why,
+            }
+        } else if self.state.concluded.contains(&id) {
+            Some(NotTaken::Concluded)
+        } else if self.state.held.len() >= self.state.limits.dialogues {
+            Some(NotTaken::Full)
+        } else {
+            let known = usize::from(dial.product) < self.products
+                && dial.tenant.is_none_or(|t| usize::from(t) < self.tenants)
+                && (dial.width > 0.0 && dial.width <= WIDEST)
+                && !dial.time_left.is_zero();
+            (!known).then_some(NotTaken::Unknown)
+        };
+        if let Some(why) = why {
+            self.state.counts.declined += 1;
+            return self.hands(wires).say(link, Frame::Declined { dialogue: id, why });
+        }
+        self.state.counts.taken += 1;
+        let held = Held {
+            link,
+            at: At::Waiting,
+            launches: 0,
+            product: dial.product,
+            width: dial.width,
+            key: dial.key.clone(),
+            extra: extra.into(),
+        };
+        self.state.held.insert(id.clone(), held);
+        if let Some(known) = self.state.links.get_mut(&link) {
+            known.here.insert(id.clone());
+        }
+        let arrival = Arrival {
+            id,
+            key: dial.key,
+            product: ProductId(dial.product.into()),
+            tenant: dial.tenant.map(|t| TenantId(t.into())),
+            first_choice: dial.first_choice,
+            width: dial.width,
+            cut_off: self.state.now + dial.time_left,
+            again: dial.again,
+            came_back: dial.came_back,
+        };
+        let mut hands = Hands { state: &mut self.state, wires };
+        self.brain.arrived(hands.state.now, arrival, &mut hands);
+    }
+
+    /// A dialogue that is held is dialled on another link: where it is the same caller's, its former link is
+    /// probably dead, and the answer goes to the new one.
+    fn take_over(&mut self, id: &DialogueId, link: LinkId) -> Option<NotTaken> {
+        let name = |link: &Link| match &link.kind {
+            Kind::Caller(name) => Some(name.clone()),
+            _ => None,
+        };
+        let held = self.state.held.get_mut(id)?;
+        let before = held.link;
+        let same = self.state.links.get(&before).and_then(name) == self.state.links.get(&link).and_then(name);
+        if !same {
+            return Some(NotTaken::NotYours);
+        }
+        if !matches!(held.at, At::Waiting | At::Out { .. }) {
+            return Some(NotTaken::Concluded);
+        }
+        held.link = link;
+        self.state.counts.repeats += 1;
+        for (link, is_here) in [(before, false), (link, true)] {
+            if let Some(known) = self.state.links.get_mut(&link) {
+                if is_here {
+                    known.here.insert(id.clone());
+                } else {
+                    known.here.remove(id);
+                }
+            }
+        }
+        None
+    }
+
+    /// The caller wants no more of this dialogue.
+    fn hung_up(&mut self, id: &DialogueId, wires: &mut dyn Wires) {
+        let now = self.state.now;
+        let Some(held) = self.state.held.get_mut(id) else { return };
+        match held.at.clone() {
+            At::Standing { server, launch, link } => {
+                let until = now + self.state.limits.release_within;
+                held.at = At::Releasing { server, launch, link, until };
+                self.state.dues.set(until, id, launch);
+                self.hands(wires).say(link, Frame::Release { dialogue: id.clone(), launch });
+            }
+            At::Releasing { .. } => {}
+            At::Waiting | At::Out { .. } => {
+                self.state.counts.left += 1;
+                let mut hands = Hands { state: &mut self.state, wires };
+                self.brain.left(now, id, &mut hands);
+                // The module calls off what is out; where it may not, the launch is let run into the void.
+                if let Some(At::Out { server, launch, .. }) =
+                    hands.state.held.get(id).map(|held| held.at.clone())
+                {
+                    hands.call_off(id, launch);
+                    hands.end(id, launch, &server, Outcome::CalledOff);
+                }
+                hands.conclude(id);
+            }
+        }
+    }
+
+    fn timed_out(&mut self, id: &DialogueId, launch: LaunchNo, wires: &mut dyn Wires) {
+        let Some(held) = self.state.held.get(id) else { return };
+        match held.at.clone() {
+            At::Out { server, launch: out, .. } if out == launch => {
+                let mut hands = self.hands(wires);
+                hands.call_off(id, launch);
+                hands.end(id, launch, &server, Outcome::TimedOut);
+            }
+            At::Releasing { server, launch: out, link, .. } if out == launch => {
+                self.over(id, launch, &server, link, LoadReport::default(), wires);
+            }
+            _ => {}
+        }
+    }
+
+    // Core servers
+
+    /// False: a frame that a core server does not send.
+    fn core_said(&mut self, link: LinkId, server: &ServerId, frame: Frame, wires: &mut dyn Wires) -> bool {
+        let now = self.state.now;
+        match frame {
+            Frame::Report { report } => self.reported(server, &report, wires),
+            Frame::Stood { dialogue, launch, report } => {
+                if self.is_out(&dialogue, launch, link) {
+                    let mut hands = Hands { state: &mut self.state, wires };
+                    hands.launch_over(&dialogue);
+                    hands.state.counts.stood += 1;
+                    if let Some(held) = hands.state.held.get_mut(&dialogue) {
+                        held.at = At::Standing { server: server.clone(), launch, link };
+                        let caller = held.link;
+                        if let Some(known) = hands.state.links.get_mut(&link) {
+                            known.here.insert(dialogue.clone());
+                        }
+                        let stands = Frame::Stands { dialogue: dialogue.clone(), server: server.clone() };
+                        hands.say(caller, stands);
+                    }
+                    self.brain.stands(now, &dialogue, launch, server, &mut hands);
+                } else {
+                    // It crossed a cancel, or comes twice: unless it is the one that stands, its lines go back.
+                    self.state.counts.strays += 1;
+                    if !self.is_standing(&dialogue, launch, link) {
+                        self.hands(wires).say(link, Frame::Release { dialogue, launch });
+                    }
+                }
+                self.reported(server, &report, wires);
+            }
+            Frame::TurnedBack { dialogue, launch, cause, report } => {
+                let outcome = match cause {
+                    Cause::Processor => Outcome::TurnedBack,
+                    Cause::Lines => Outcome::LinesTaken,
+                    Cause::NumberBusy => Outcome::NumberBusy,
+                    Cause::Fault => Outcome::Fault,
+                };
+                self.launch_ended(link, server, &dialogue, launch, outcome, report, wires);
+            }
+            Frame::BrokenOff { dialogue, launch, report } => {
+                self.launch_ended(link, server, &dialogue, launch, Outcome::BrokenOff, report, wires);
+            }
+            Frame::Ended { dialogue, launch, end, report } => {
+                let at = self.state.held.get(&dialogue).map(|held| held.at.clone());
+                match at {
+                    Some(At::Releasing { launch: out, link: over, .. }) if (out, over) == (launch, link) => {
+                        self.over(&dialogue, launch, server, link, report, wires);
+                    }
+                    Some(At::Standing { launch: out, link: over, .. }) if (out, over) == (launch, link) => {
+                        self.stood_until_now(&dialogue, launch, server, link, end, report, wires);
+                    }
+                    _ => {
+                        self.launch_ended(link, server, &dialogue, launch, Outcome::BrokenOff, report, wires)
+                    }
+                }
+            }
+            _ => return false,
+        }
+        true
+    }
+
+    fn reported(&mut self, server: &ServerId, report: &LoadReport, wires: &mut dyn Wires) {
+        if *report != LoadReport::default() {
+            let mut hands = Hands { state: &mut self.state, wires };
+            self.brain.reported(hands.state.now, server, report, &mut hands);
+        }
+    }
+
+    fn is_out(&self, id: &DialogueId, launch: LaunchNo, link: LinkId) -> bool {
+        let at = self.state.held.get(id).map(|held| &held.at);
+        matches!(at, Some(At::Out { launch: out, link: over, .. }) if (*out, *over) == (launch, Some(link)))
+    }
+
+    fn is_standing(&self, id: &DialogueId, launch: LaunchNo, link: LinkId) -> bool {
+        let at = self.state.held.get(id).map(|held| &held.at);
+        matches!(at, Some(At::Standing { launch: out, link: over, .. }) if (*out, *over) == (launch, link))
+    }
+
+    #[expect(clippy::too_many_arguments)]
+    fn launch_ended(
+        &mut self, link: LinkId, server: &ServerId, id: &DialogueId, launch: LaunchNo, outcome: Outcome,
+        report: LoadReport, wires: &mut dyn Wires,
+    ) {
+        if !self.is_out(id, launch, link) {
+            self.state.counts.strays += 1;
+            return self.reported(server, &report, wires);
+        }
+        let mut hands = Hands { state: &mut self.state, wires };
+        hands.launch_over(id);
+        let end = LaunchEnd {
+            dialogue: id.clone(),
+            launch,
+            server: server.clone(),
+            outcome,
+            closed: false,
+            report,
+        };
+        self.brain.ended(hands.state.now, end, &mut hands);
+    }
+
+    /// A dialogue that its caller released is over.
+    fn over(
+        &mut self, id: &DialogueId, launch: LaunchNo, server: &ServerId, link: LinkId, report: LoadReport,
+        wires: &mut dyn Wires,
+    ) {
+        self.stood_until_now(id, launch, server, link, End::Released, report, wires);
+    }
+
+    #[expect(clippy::too_many_arguments)]
+    fn stood_until_now(
+        &mut self, id: &DialogueId, launch: LaunchNo, server: &ServerId, link: LinkId, end: End,
+        report: LoadReport, wires: &mut dyn Wires,
+    ) {
+        let mut hands = Hands { state: &mut self.state, wires };
+        if let Some(known) = hands.state.links.get_mut(&link) {
+            known.here.remove(id);
+        }
+        let at = hands.state.held.get(id).map(|held| held.at.clone());
+        match at {
+            Some(At::Releasing { until, .. }) => {
+                hands.state.dues.unset(until, id, launch);
+                hands.conclude(id);
+            }
+            Some(At::Standing { .. }) if end == End::Cut => hands.cut(id),
+            Some(At::Standing { .. }) => {
+                if let Some(caller) = hands.conclude(id) {
+                    hands.say(caller, Frame::Over { dialogue: id.clone(), end });
+                }
+            }
+            _ => return,
+        }
+        let outcome = if end == End::Cut { Outcome::BrokenOff } else { Outcome::Ended };
+        let end =
+            LaunchEnd { dialogue: id.clone(), launch, server: server.clone(), outcome, closed: true, report };
+        self.brain.ended(hands.state.now, end, &mut hands);
+    }
+
+    // The list
+
+    fn listed(&mut self, whole: bool, entries: Vec<Entry>, wires: &mut dyn Wires) {
+        let now = self.state.now;
+        if whole {
+            self.state.servers.values_mut().for_each(|far| far.listed = Listed::Gone);
+        }
+        let mut told = Vec::new();
+        let mut renewed = Vec::new();
+        for entry in entries {
+            let since = if entry.age.is_zero() {
+                Duration::ZERO
+            } else {
+                now.saturating_sub(entry.age).max(Duration::from_micros(1))
+            };
+            let known = self.state.servers.get_mut(&entry.server);
+            let far = match known {
+                Some(far) => {
+                    if far.life != entry.life || far.address != entry.address {
+                        // Another process answers there; what is out on the old link ends with that.
+                        let first_time = far.life != entry.life;
+                        renewed.extend(far.link.take());
+                        (far.address, far.life) = (entry.address.clone(), entry.life);
+                        if first_time {
+                            far.since = since;
+                        }
+                    }
+                    far.listed = entry.listed;
+                    far
+                }
+                None => self.state.servers.entry(entry.server.clone()).or_insert(Far {
+                    address: entry.address.clone(),
+                    listed: entry.listed,
+                    life: entry.life,
+                    since,
+                    link: None,
+                    queued: Vec::new(),
+                }),
+            };
+            let (number, listed, since) = (entry.number, far.listed, far.since);
+            told.push(ListEntry { server: entry.server, number, listed, since });
+        }
+        for entry in &told {
+            if entry.listed == Listed::Active {
+                self.hands(wires).link_to(&entry.server);
+            }
+        }
+        let mut hands = Hands { state: &mut self.state, wires };
+        self.brain.listed(now, whole, &told, &mut hands);
+        let gone = self.state.servers.iter().filter(|(_, far)| far.listed == Listed::Gone);
+        let gone: Vec<ServerId> = gone.map(|(id, _)| id.clone()).collect();
+        renewed.extend(gone.iter().filter_map(|id| self.state.servers.get(id)?.link));
+        for link in renewed {
+            if self.state.links.get(&link).is_some_and(|known| known.here.is_empty()) {
+                self.drop_link(link, "its server is gone from the list", wires);
+            }
+        }
+        for id in gone {
+            if self.state.servers.get(&id).is_some_and(|far| far.link.is_none() && far.queued.is_empty()) {
+                self.state.servers.remove(&id);
+            }
+        }
+    }
+
+    // Links
+
+    fn sweep(&mut self, wires: &mut dyn Wires) {
+        let (now, limits) = (self.state.now, self.state.limits.clone());
+        let mut doomed: Vec<(LinkId, &str)> = Vec::new();
+        let mut silent = Vec::new();
+        for (id, link) in &mut self.state.links {
+            let within =
+                if matches!(link.kind, Kind::Fresh) { limits.hello_within } else { limits.connect_within };
+            if !link.greeted && now >= link.since + within {
+                doomed.push((*id, "no hello in time"));
+            } else if link.greeted && now >= link.heard + limits.dead_after {
+                doomed.push((*id, "silent, taken as dead"));
+            } else if link.greeted && !link.asked && now >= link.heard + limits.ask_after {
+                link.asked = true;
+                silent.push(*id);
+            }
+        }
+        for link in silent {
+            self.hands(wires).say(link, Frame::Ping { nonce: now.as_micros() as u64 });
+        }
+        for (link, why) in doomed {
+            self.drop_link(link, why, wires);
+        }
+    }
+
+    /// Ends a link from this side.
+    fn drop_link(&mut self, link: LinkId, why: &str, wires: &mut dyn Wires) {
+        if self.state.links.contains_key(&link) {
+            wires.close(link, why);
+            self.forget_link(link, why, wires);
+        }
+    }
+
+    /// What was on a link that is gone, ends.
+    fn forget_link(&mut self, link: LinkId, why: &str, wires: &mut dyn Wires) {
+        let Some(mut known) = self.state.links.remove(&link) else { return };
+        self.state.counts.links_closed += 1;
+        match &known.kind {
+            Kind::Fresh | Kind::Caller(_) => {
+                self.state.callers -= 1;
+                self.state.fresh.retain(|fresh| *fresh != link);
+                let name = if let Kind::Caller(name) = &known.kind { name } else { "that said no hello" };
+                let open = known.here.len();
+                wires.log(Note::Link, &format!("caller {name} gone with {open} dialogues: {why}"));
+                for id in std::mem::take(&mut known.here) {
+                    self.hung_up(&id, wires);
+                    self.hand_over_ends(wires);
+                }
+            }
+            Kind::List => {
+                wires.log(Note::Link, &format!("list gone: {why}"));
+                self.list_at = Some(self.state.now + LIST_AGAIN);
+            }
+            Kind::Core(server) => {
+                let server = server.clone();
+                let there = known.here.len();
+                wires.log(Note::Link, &format!("link to {} gone with {there} dialogues: {why}", server.0));
+                let far = self.state.servers.get_mut(&server).filter(|far| far.link == Some(link));
+                let queued = far.map(|far| {
+                    far.link = None;
+                    std::mem::take(&mut far.queued)
+                });
+                for id in queued.unwrap_or_default() {
+                    self.unreached(&id, &server, wires);
+                }
+                for id in std::mem::take(&mut known.here) {
+                    self.cut_off(&id, &server, wires);
+                    self.hand_over_ends(wires);
+                }
+                if self.state.servers.get(&server).is_some_and(|far| {
+                    far.listed == Listed::Gone && far.link.is_none() && far.queued.is_empty()
+                }) {
+                    self.state.servers.remove(&server);
+                }
+            }
+        }
+    }
+
+    /// The link that this dialogue was on is gone.
+    fn cut_off(&mut self, id: &DialogueId, server: &ServerId, wires: &mut dyn Wires) {
+        let at = self.state.held.get(id).map(|held| held.at.clone());
+        match at {
+            Some(At::Out { launch, .. }) => {
+                let mut hands = self.hands(wires);
+                hands.launch_over(id);
+                hands.end(id, launch, server, Outcome::BrokenOff);
+            }
+            Some(At::Standing { launch, link, .. }) => {
+                self.stood_until_now(id, launch, server, link, End::Cut, LoadReport::default(), wires);
+            }
+            Some(At::Releasing { launch, link, .. }) => {
+                self.over(id, launch, server, link, LoadReport::default(), wires);
+            }
+            Some(At::Waiting) | None => {}
+        }
+    }
+
+    fn hands<'a>(&'a mut self, wires: &'a mut dyn Wires) -> Hands<'a> {
+        Hands { state: &mut self.state, wires }
+    }
+
+    /// Hands the module the ends that came of what it did, until there is none.
+    fn hand_over_ends(&mut self, wires: &mut dyn Wires) {
+        while let Some(mut end) = self.state.ends.pop_front() {
+            end.closed = !self.state.held.contains_key(&end.dialogue);
+            let mut hands = Hands { state: &mut self.state, wires };
+            self.brain.ended(hands.state.now, end, &mut hands);
+        }
+    }
+
+    fn settle(&mut self, wires: &mut dyn Wires) {
+        loop {
+            self.hand_over_ends(wires);
+            let Some((link, why)) = self.state.broken.pop_front() else { break };
+            self.drop_link(link, why, wires);
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/hands.rs
@@ -0,0 +1,210 @@
+//! The module's `Signalling`: what it decides becomes frames and ends of launches.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::time::Duration;
+
+use lotussaddle::interface::*;
+use lotussaddle_trunk::{End, Frame, Launch, Message};
+
+use crate::held::{At, Concluded, Counts, Dues, Held, Limits};
+use crate::links::{Far, Kind, Link};
+use crate::{LinkId, Note, Wires};
+
+/// All that an edge proxy holds beside the decisions.
+pub struct State {
+    pub limits: Limits,
+    pub now: Duration,
+    pub held: HashMap<DialogueId, Held>,
+    pub links: BTreeMap<LinkId, Link>,
+    pub fresh: VecDeque<LinkId>,
+    pub callers: usize,
+    pub servers: BTreeMap<ServerId, Far>,
+    pub dues: Dues,
+    pub concluded: Concluded,
+    pub counts: Counts,
+    /// When the module wants its alarm.
+    pub alarm: Option<Duration>,
+    /// Ends that came of what the module itself did; it hears of them as the next inputs.
+    pub ends: VecDeque<LaunchEnd>,
+    /// Links that turned out to be of no use while they were written to.
+    pub broken: VecDeque<(LinkId, &'static str)>,
+}
+
+/// State and wires, lent to the module for one input.
+pub struct Hands<'a> {
+    pub state: &'a mut State,
+    pub wires: &'a mut dyn Wires,
+}
+
+impl Hands<'_> {
+    /// A link that cannot take a message is given up: what was to be said is not to be lost in silence.
+    pub fn say(&mut self, link: LinkId, frame: Frame) {
+        if !self.wires.say(link, frame.into()) {
+            self.state.broken.push_back((link, "its queue is full"));
+        }
+    }
+
+    /// Takes out a dialogue that is over for its caller.
+    pub fn drop_held(&mut self, id: &DialogueId) -> Option<Held> {
+        let held = self.state.held.remove(id)?;
+        if let Some(link) = self.state.links.get_mut(&held.link) {
+            link.here.remove(id);
+        }
+        Some(held)
+    }
+
+    pub fn conclude(&mut self, id: &DialogueId) -> Option<LinkId> {
+        let held = self.drop_held(id)?;
+        self.state.concluded.add(self.state.now, id, &self.state.limits);
+        Some(held.link)
+    }
+
+    /// The launch is over as far as this edge proxy is concerned.
+    pub fn launch_over(&mut self, id: &DialogueId) {
+        let Some(held) = self.state.held.get_mut(id) else { return };
+        let At::Out { server, launch, until, link } = std::mem::replace(&mut held.at, At::Waiting) else {
+            return;
+        };
+        self.state.dues.unset(until, id, launch);
+        match link {
+            Some(link) => self.state.links.get_mut(&link).map(|link| link.here.remove(id)),
+            None => self.state.servers.get_mut(&server).map(|far| {
+                far.queued.retain(|queued| queued != id);
+                true
+            }),
+        };
+    }
+
+    /// Calls a launch off where it is out; gives the server.
+    pub fn call_off(&mut self, id: &DialogueId, launch: LaunchNo) -> Option<ServerId> {
+        let held = self.state.held.get(id)?;
+        let At::Out { server, launch: out, link, .. } = &held.at else { return None };
+        if *out != launch {
+            return None;
+        }
+        let (server, link) = (server.clone(), *link);
+        self.launch_over(id);
+        if let Some(link) = link {
+            self.say(link, Frame::Cancel { dialogue: id.clone(), launch });
+        }
+        Some(server)
+    }
+
+    /// Sends a launch on a link that is up.
+    pub fn send_launch(&mut self, id: &DialogueId, link: LinkId) -> bool {
+        let now = self.state.now;
+        let Some(held) = self.state.held.get_mut(id) else { return true };
+        let At::Out { launch, until, link: over, .. } = &mut held.at else { return true };
+        let frame = Frame::Launch(Launch {
+            dialogue: id.clone(),
+            launch: *launch,
+            key: held.key.clone(),
+            product: held.product,
+            width: held.width,
+            time_left: until.saturating_sub(now),
+        });
+        if !self.wires.say(link, Message { frame, extra: held.extra.to_vec() }) {
+            return false;
+        }
+        *over = Some(link);
+        self.state.counts.launches += 1;
+        if let Some(link) = self.state.links.get_mut(&link) {
+            link.here.insert(id.clone());
+        }
+        true
+    }
+
+    /// The link for new launches to a server; begun where there is none.
+    pub fn link_to(&mut self, id: &ServerId) -> Option<LinkId> {
+        let far = self.state.servers.get_mut(id)?;
+        if far.link.is_none() {
+            let link = self.wires.connect(&far.address);
+            far.link = Some(link);
+            self.state.links.insert(link, Link::new(Kind::Core(id.clone()), self.state.now));
+        }
+        far.link
+    }
+
+    pub fn end(&mut self, dialogue: &DialogueId, launch: LaunchNo, server: &ServerId, outcome: Outcome) {
+        self.state.ends.push_back(LaunchEnd {
+            dialogue: dialogue.clone(),
+            launch,
+            server: server.clone(),
+            outcome,
+            closed: false, // settled when it is handed over
+            report: LoadReport::default(),
+        });
+    }
+
+    /// A standing dialogue is cut: its caller is told.
+    pub fn cut(&mut self, id: &DialogueId) {
+        self.state.counts.cut += 1;
+        if let Some(link) = self.conclude(id) {
+            self.say(link, Frame::Over { dialogue: id.clone(), end: End::Cut });
+        }
+    }
+}
+
+impl Signalling for Hands<'_> {
+    fn launch(&mut self, dialogue: &DialogueId, server: &ServerId, time_out: Duration) {
+        let until = self.state.now + time_out;
+        let Some(held) = self.state.held.get_mut(dialogue) else { return };
+        let launch = LaunchNo(held.launches);
+        held.launches += 1;
+        held.at = At::Out { server: server.clone(), launch, until, link: None };
+        self.state.dues.set(until, dialogue, launch);
+        let link = self.link_to(server);
+        let up = link.filter(|link| self.state.links.get(link).is_some_and(|l| l.greeted));
+        let limit = self.state.limits.queued;
+        let sent = match up {
+            Some(link) => self.send_launch(dialogue, link),
+            None => self.state.servers.get_mut(server).is_some_and(|far| {
+                let room = far.queued.len() < limit;
+                if room {
+                    far.queued.push(dialogue.clone());
+                }
+                room
+            }),
+        };
+        if !sent {
+            self.launch_over(dialogue);
+            self.end(dialogue, launch, server, Outcome::Unreachable);
+        }
+    }
+
+    fn refuse(&mut self, dialogue: &DialogueId, come_back: Option<Duration>) {
+        if let Some(link) = self.conclude(dialogue) {
+            self.state.counts.refused += 1;
+            self.say(link, Frame::Refused { dialogue: dialogue.clone(), come_back });
+        }
+    }
+
+    fn fail(&mut self, dialogue: &DialogueId) {
+        if let Some(link) = self.conclude(dialogue) {
+            self.state.counts.failed += 1;
+            self.say(link, Frame::Failed { dialogue: dialogue.clone() });
+        }
+    }
+
+    /// The end of the launch does not wait for the server's word: an answer that crosses the cancel finds the
+    /// launch over and is released there.
+    fn cancel(&mut self, dialogue: &DialogueId, launch: LaunchNo) {
+        if let Some(server) = self.call_off(dialogue, launch) {
+            self.end(dialogue, launch, &server, Outcome::CalledOff);
+        }
+    }
+
+    /// Nothing on a trunk link is a probe: the interface has it for other wires.
+    fn probe(&mut self, _server: &ServerId) {}
+
+    /// Edge proxies share nothing on this wire.
+    fn tell(&mut self, _peer: Option<PeerId>, _message: &[u8]) {}
+
+    fn set_timer(&mut self, _timer: TimerId, after: Duration) {
+        self.state.alarm = Some(self.state.now + after);
+    }
+
+    fn log(&mut self, line: &str) {
+        self.wires.log(Note::Mode, line);
+    }
+}
--- /dev/null
+++ b/crates/edge/src/held.rs
@@ -0,0 +1,163 @@
+//! What is held of each dialogue, and the bounds of all that is held.
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::time::Duration;
+
+use lotussaddle::interface::{DialledKey, DialogueId, LaunchNo, ServerId};
+use lotussaddle_trunk::Extra;
+
+use crate::LinkId;
+
+/// Each bound, and (in the operators' page) what happens beyond it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limits {
+    /// Dialogues held at once, standing ones included; beyond it a dial is declined.
+    pub dialogues: usize,
+    /// Links of callers; beyond it a new one is closed.
+    pub links: usize,
+    /// Links that have not said hello; beyond it the oldest of them is closed.
+    pub fresh: usize,
+    /// How long a link may take to say hello.
+    pub hello_within: Duration,
+    /// A link that said nothing for so long is asked whether it is there ...
+    pub ask_after: Duration,
+    /// ... and closed when it has said nothing for so long.
+    pub dead_after: Duration,
+    /// Launches that wait for one link to come up.
+    pub queued: usize,
+    /// How long a link to a core server or list may take to come up.
+    pub connect_within: Duration,
+    /// Concluded dialogues that are remembered, so that a repeat is not taken as new ...
+    pub remembered: usize,
+    /// ... and for how long.
+    pub remember_for: Duration,
+    /// How long the end of a released dialogue is awaited.
+    pub release_within: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            dialogues: 200_000,
+            links: 1_000,
+            fresh: 128,
+            hello_within: Duration::from_secs(2),
+            ask_after: Duration::from_secs(1),
+            dead_after: Duration::from_secs(5),
+            queued: 1_000,
+            connect_within: Duration::from_millis(500),
+            remembered: 200_000,
+            remember_for: Duration::from_secs(60),
+            release_within: Duration::from_secs(5),
+        }
+    }
+}
+
+/// What has happened since the start.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub taken: u64,
+    pub stood: u64,
+    pub refused: u64,
+    pub failed: u64,
+    pub left: u64,
+    pub cut: u64,
+    pub declined: u64,
+    pub repeats: u64,
+    pub launches: u64,
+    /// Answers of core servers to launches that were over by then.
+    pub strays: u64,
+    pub links_closed: u64,
+}
+
+/// Where a dialogue is.
+#[derive(Clone, Debug, PartialEq)]
+pub enum At {
+    Waiting,
+    /// On its way to a server; none yet of its link: it waits for that to come up.
+    Out {
+        server: ServerId,
+        launch: LaunchNo,
+        until: Duration,
+        link: Option<LinkId>,
+    },
+    Standing {
+        server: ServerId,
+        launch: LaunchNo,
+        link: LinkId,
+    },
+    /// Its caller hung up; the server was told.
+    Releasing {
+        server: ServerId,
+        launch: LaunchNo,
+        link: LinkId,
+        until: Duration,
+    },
+}
+
+pub struct Held {
+    /// The caller's link.
+    pub link: LinkId,
+    pub at: At,
+    pub launches: u32,
+    pub product: u16,
+    pub width: f64,
+    pub key: Option<DialledKey>,
+    /// Optional fields of its dial, which its launches carry on.
+    pub extra: Box<[Extra]>,
+}
+
+/// Dialogues that have had their answer, so that a repeat of their dial is not taken for a new one.
+#[derive(Default)]
+pub struct Concluded {
+    known: HashMap<DialogueId, Duration>,
+    in_order: VecDeque<(Duration, DialogueId)>,
+}
+
+impl Concluded {
+    pub fn contains(&self, id: &DialogueId) -> bool {
+        self.known.contains_key(id)
+    }
+
+    pub fn add(&mut self, now: Duration, id: &DialogueId, limits: &Limits) {
+        self.known.insert(id.clone(), now);
+        self.in_order.push_back((now, id.clone()));
+        while let Some((since, oldest)) = self.in_order.front()
+            && (self.in_order.len() > limits.remembered || *since + limits.remember_for <= now)
+        {
+            if self.known.get(oldest) == Some(since) {
+                self.known.remove(oldest);
+            }
+            self.in_order.pop_front();
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+}
+
+/// Ends of time, earliest first; what is no longer meant is passed over when it comes up.
+#[derive(Default)]
+pub struct Dues(BTreeSet<(Duration, DialogueId, LaunchNo)>);
+
+impl Dues {
+    pub fn set(&mut self, at: Duration, id: &DialogueId, launch: LaunchNo) {
+        self.0.insert((at, id.clone(), launch));
+    }
+
+    pub fn unset(&mut self, at: Duration, id: &DialogueId, launch: LaunchNo) {
+        self.0.remove(&(at, id.clone(), launch));
+    }
+
+    pub fn first(&self) -> Option<Duration> {
+        self.0.first().map(|(at, ..)| *at)
+    }
+
+    pub fn pop(&mut self, now: Duration) -> Option<(DialogueId, LaunchNo)> {
+        if self.first()? > now {
+            return None;
+        }
+        self.0.pop_first().map(|(_, id, launch)| (id, launch))
+    }
+}
--- /dev/null
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,39 @@
+//! One edge proxy: dialogues taken, launches out, links up, and the decisions that it owns.
+//!
+//! It never touches a socket, a clock, a thread or a file: each input is a call on [`Edge`] with the time since
+//! the start, each effect a call on [`Wires`]. It decides nothing about routes, limits or further launches;
+//! that is `lotussaddle::brain`. Start reading at [`Edge`].
+
+mod edge;
+mod hands;
+mod held;
+mod links;
+
+pub use edge::Edge;
+pub use held::{Counts, Limits};
+
+use lotussaddle_trunk::Message;
+
+/// A link of this edge proxy, named by the shell and never named again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LinkId(pub u64);
+
+/// Whom a line of the log is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Note {
+    /// The module changed its mode.
+    Mode,
+    /// A link came up or went.
+    Link,
+}
+
+/// All that an edge proxy does to the world. None of it waits.
+pub trait Wires {
+    /// Queues a message; false where the queue is full or the link gone: then nothing was queued.
+    fn say(&mut self, link: LinkId, message: Message) -> bool;
+    /// Begins a link; `Edge::connected` or `Edge::lost` tells what came of it.
+    fn connect(&mut self, address: &str) -> LinkId;
+    /// Ends a link at once; no input of it comes any more.
+    fn close(&mut self, link: LinkId, why: &str);
+    fn log(&mut self, note: Note, line: &str);
+}
--- /dev/null
+++ b/crates/serve/src/lib.rs
@@ -0,0 +1,1 @@
+//! The edge proxy on sockets: listeners, links, timers, configuration, logs.
--- /dev/null
+++ b/crates/sheet/src/lib.rs
@@ -0,0 +1,356 @@
+//! KDL sheets, read with all their mistakes at once, each with line and column.
+//!
+//! A [`Block`] is asked for what it should hold; what is missing, wrong or not asked for is noted as a mistake
+//! and reading goes on with a stand-in value, so that one look finds everything. Nothing read from a sheet may be
+//! used before [`Sheet::finish`] has found no mistake. Start reading at [`Sheet`].
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::fmt;
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use kdl::{KdlDocument, KdlEntry, KdlNode, KdlValue};
+
+/// Bytes of a sheet, at most.
+pub const MAX_SHEET: usize = 4 * 1024 * 1024;
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Mistake {
+    pub line: usize,
+    pub column: usize,
+    pub what: String,
+}
+
+/// All that is wrong with a sheet, in the order of its lines.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub struct Mistakes {
+    pub file: String,
+    pub all: Vec<Mistake>,
+}
+
+impl fmt::Display for Mistakes {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        for (place, mistake) in self.all.iter().enumerate() {
+            let end = if place > 0 { "\n" } else { "" };
+            write!(f, "{end}{}:{}:{}: {}", self.file, mistake.line, mistake.column, mistake.what)?;
+        }
+        Ok(())
+    }
+}
+
+pub struct Sheet {
+    file: String,
+    text: String,
+    document: KdlDocument,
+    mistakes: RefCell<Vec<Mistake>>,
+}
+
+fn place(text: &str, offset: usize) -> (usize, usize) {
+    let before = &text[..text.floor_char_boundary(offset.min(text.len()))];
+    let line = before.matches('\n').count() + 1;
+    let column = before.rsplit('\n').next().unwrap_or_default().chars().count() + 1;
+    (line, column)
+}
+
+impl Sheet {
+    pub fn load(path: &std::path::Path) -> Result<Self, Mistakes> {
+        let file = path.display().to_string();
+        let unread = |what: String| {
+            let all = vec![Mistake { line: 1, column: 1, what }];
+            Mistakes { file: file.clone(), all }
+        };
+        let size = std::fs::metadata(path).map_err(|e| unread(format!("cannot be read: {e}")))?.len();
+        if size > MAX_SHEET as u64 {
+            return Err(unread(format!("{size} bytes, over the {MAX_SHEET} allowed")));
+        }
+        let text = std::fs::read_to_string(path).map_err(|e| unread(format!("cannot be read: {e}")))?;
+        Self::read(&file, &text)
+    }
+
+    pub fn read(file: &str, text: &str) -> Result<Self, Mistakes> {
+        let document = KdlDocument::parse(text).map_err(|error| {
+            let mut all = Vec::new();
+            for diagnostic in &error.diagnostics {
+                let (line, column) = place(text, diagnostic.span.offset());
+                let what = diagnostic.message.clone().or_else(|| diagnostic.label.clone());
+                all.push(Mistake { line, column, what: what.unwrap_or_else(|| "is no KDL".into()) });
+            }
+            all.sort();
+            all.dedup();
+            Mistakes { file: file.into(), all }
+        })?;
+        Ok(Self { file: file.into(), text: text.into(), document, mistakes: RefCell::default() })
+    }
+
+    pub fn root(&self) -> Block<'_> {
+        Block { sheet: self, nodes: self.document.nodes(), offset: 0, asked: RefCell::default() }
+    }
+
+    /// Done reading: no mistake, or all of them.
+    pub fn finish(self) -> Result<(), Mistakes> {
+        let mut all = self.mistakes.into_inner();
+        all.sort();
+        all.dedup();
+        if all.is_empty() { Ok(()) } else { Err(Mistakes { file: self.file, all }) }
+    }
+
+    pub fn wrong(&self, offset: usize, what: impl Into<String>) {
+        let (line, column) = place(&self.text, offset);
+        self.mistakes.borrow_mut().push(Mistake { line, column, what: what.into() });
+    }
+}
+
+/// Nodes between braces, or a whole sheet.
+pub struct Block<'a> {
+    sheet: &'a Sheet,
+    nodes: &'a [KdlNode],
+    offset: usize,
+    asked: RefCell<BTreeSet<String>>,
+}
+
+/// One node: its arguments, its named values, its block.
+#[derive(Clone, Copy)]
+pub struct Node<'a> {
+    sheet: &'a Sheet,
+    node: &'a KdlNode,
+}
+
+impl<'a> Block<'a> {
+    /// All nodes of this name.
+    pub fn many(&self, name: &str) -> Vec<Node<'a>> {
+        self.asked.borrow_mut().insert(name.into());
+        let sheet = self.sheet;
+        let named = self.nodes.iter().filter(|node| node.name().value() == name);
+        named.map(|node| Node { sheet, node }).collect()
+    }
+
+    pub fn maybe(&self, name: &str) -> Option<Node<'a>> {
+        let all = self.many(name);
+        for again in all.iter().skip(1) {
+            again.wrong(format!("{name} stands here a second time"));
+        }
+        all.first().copied()
+    }
+
+    pub fn need(&self, name: &str) -> Option<Node<'a>> {
+        let found = self.maybe(name);
+        if found.is_none() {
+            self.wrong(format!("{name} is missing"));
+        }
+        found
+    }
+
+    /// The one value of a node, where it is there.
+    fn value<T>(
+        &self, name: &str, default: Option<T>, fallback: T, read: impl Fn(Node<'a>) -> Option<T>,
+    ) -> T {
+        let node = if default.is_some() { self.maybe(name) } else { self.need(name) };
+        node.map_or(default, read).unwrap_or(fallback)
+    }
+
+    pub fn text(&self, name: &str, default: Option<&str>) -> String {
+        self.value(name, default.map(String::from), String::new(), |node| node.text(0))
+    }
+
+    pub fn whole(&self, name: &str, within: RangeInclusive<u64>, default: Option<u64>) -> u64 {
+        let least = *within.start();
+        self.value(name, default, least, |node| node.whole(0, within.clone()))
+    }
+
+    pub fn real(&self, name: &str, within: RangeInclusive<f64>, default: Option<f64>) -> f64 {
+        let least = *within.start();
+        self.value(name, default, least, |node| node.real(0, within.clone()))
+    }
+
+    /// Written with its unit: "250us", "800ms", "1.5s", "2m".
+    pub fn time(&self, name: &str, within: RangeInclusive<Duration>, default: Option<Duration>) -> Duration {
+        let least = *within.start();
+        self.value(name, default, least, |node| node.time(0, within.clone()))
+    }
+
+    pub fn flag(&self, name: &str, default: Option<bool>) -> bool {
+        self.value(name, default, false, |node| match node.argument(0)? {
+            KdlValue::Bool(flag) => Some(*flag),
+            _ => node.none(0, "#true or #false"),
+        })
+    }
+
+    pub fn wrong(&self, what: impl Into<String>) {
+        self.sheet.wrong(self.offset, what);
+    }
+
+    /// The names that stand here, asked for or not.
+    pub fn names(&self) -> Vec<(&'a str, Node<'a>)> {
+        let sheet = self.sheet;
+        self.nodes.iter().map(|node| (node.name().value(), Node { sheet, node })).collect()
+    }
+}
+
+impl Drop for Block<'_> {
+    /// What nobody asked for is probably a slip of the pen.
+    fn drop(&mut self) {
+        let asked = self.asked.borrow();
+        for node in self.nodes.iter().filter(|node| !asked.contains(node.name().value())) {
+            let known = if asked.is_empty() {
+                String::new()
+            } else {
+                let known: Vec<&str> = asked.iter().map(String::as_str).collect();
+                format!(" (known here: {})", known.join(", "))
+            };
+            let what = format!("{} is not known{known}", node.name().value());
+            self.sheet.wrong(node.span().offset(), what);
+        }
+    }
+}
+
+impl<'a> Node<'a> {
+    pub fn name(&self) -> &'a str {
+        self.node.name().value()
+    }
+
+    pub fn wrong(&self, what: impl Into<String>) {
+        self.sheet.wrong(self.node.span().offset(), what);
+    }
+
+    fn entries(&self) -> impl Iterator<Item = &'a KdlEntry> {
+        self.node.entries().iter()
+    }
+
+    fn entry(&self, place: usize) -> Option<&'a KdlEntry> {
+        self.entries().filter(|entry| entry.name().is_none()).nth(place)
+    }
+
+    pub fn arguments(&self) -> usize {
+        self.entries().filter(|entry| entry.name().is_none()).count()
+    }
+
+    fn argument(&self, place: usize) -> Option<&'a KdlValue> {
+        let entry = self.entry(place);
+        if entry.is_none() {
+            self.wrong(format!("{} wants a value", self.name()));
+        }
+        entry.map(|entry| entry.value())
+    }
+
+    fn none<T>(&self, place: usize, wanted: &str) -> Option<T> {
+        let offset = self.entry(place).map_or(self.node.span().offset(), |entry| entry.span().offset());
+        self.sheet.wrong(offset, format!("{} wants {wanted}", self.name()));
+        None
+    }
+
+    pub fn text(&self, place: usize) -> Option<String> {
+        match self.argument(place)?.as_string() {
+            Some("") | None => self.none(place, "a text"),
+            Some(text) => Some(text.into()),
+        }
+    }
+
+    pub fn whole(&self, place: usize, within: RangeInclusive<u64>) -> Option<u64> {
+        let value = self.argument(place)?.as_integer().and_then(|v| u64::try_from(v).ok());
+        let wanted = format!("a whole number from {} to {}", within.start(), within.end());
+        value.filter(|v| within.contains(v)).or_else(|| self.none(place, &wanted))
+    }
+
+    pub fn real(&self, place: usize, within: RangeInclusive<f64>) -> Option<f64> {
+        let value = self.argument(place)?;
+        let value = value.as_float().or(value.as_integer().map(|v| v as f64));
+        let wanted = format!("a number from {} to {}", within.start(), within.end());
+        value.filter(|v| within.contains(v)).or_else(|| self.none(place, &wanted))
+    }
+
+    pub fn time(&self, place: usize, within: RangeInclusive<Duration>) -> Option<Duration> {
+        let value = self.argument(place)?.as_string().and_then(span);
+        let wanted =
+            format!("a time from {:?} to {:?}, such as \"800ms\" or \"1.5s\"", within.start(), within.end());
+        value.filter(|v| within.contains(v)).or_else(|| self.none(place, &wanted))
+    }
+
+    /// A named value of the node itself, as in `product "till" gain=6`.
+    pub fn named(&self, name: &str) -> Option<&'a KdlValue> {
+        self.entries().find(|e| e.name().is_some_and(|n| n.value() == name)).map(|e| e.value())
+    }
+
+    pub fn block(&self) -> Block<'a> {
+        let nodes = self.node.children().map(|c| c.nodes()).unwrap_or_default();
+        Block { sheet: self.sheet, nodes, offset: self.node.span().offset(), asked: RefCell::default() }
+    }
+}
+
+/// A time with its unit.
+pub fn span(text: &str) -> Option<Duration> {
+    let unit = text.find(|c: char| c.is_ascii_alphabetic())?;
+    let (figure, unit) = text.split_at(unit);
+    let figure: f64 = figure.trim().parse().ok().filter(|f: &f64| f.is_finite() && *f >= 0.0)?;
+    let scale = match unit {
+        "us" => 1e-6,
+        "ms" => 1e-3,
+        "s" => 1.0,
+        "m" => 60.0,
+        "h" => 3600.0,
+        _ => return None,
+    };
+    Duration::try_from_secs_f64((figure * scale * 1e6).round() / 1e6).ok()
+}
+
+/// How a time is written in a sheet; `span` reads it back.
+pub fn spelled(time: Duration) -> String {
+    let micros = time.as_micros();
+    match micros {
+        0 => "0s".into(),
+        m if m % 1_000_000 == 0 => format!("{}s", m / 1_000_000),
+        m if m % 1000 == 0 => format!("{}ms", m / 1000),
+        m => format!("{m}us"),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const S: Duration = Duration::from_secs(1);
+
+    #[test]
+    fn all_mistakes_are_told_at_once_with_their_places() {
+        let text = "listen 5\nlimits {\n  links 0\n  linsk 3\n}\npromised \"800\"\nlisten \"b\"\n";
+        let sheet = Sheet::read("edge.kdl", text).unwrap();
+        {
+            let root = sheet.root();
+            root.text("listen", None);
+            root.time("promised", S..=S * 5, None);
+            root.real("share", 0.0..=1.0, None);
+            let limits = root.need("limits").unwrap().block();
+            limits.whole("links", 1..=10, None);
+        }
+        let said = sheet.finish().unwrap_err().to_string();
+        assert_eq!(
+            said,
+            "edge.kdl:1:1: share is missing\n\
+             edge.kdl:1:8: listen wants a text\n\
+             edge.kdl:3:9: links wants a whole number from 1 to 10\n\
+             edge.kdl:4:3: linsk is not known (known here: links)\n\
+             edge.kdl:6:10: promised wants a time from 1s to 5s, such as \"800ms\" or \"1.5s\"\n\
+             edge.kdl:7:1: listen stands here a second time"
+        );
+    }
+
+    #[test]
+    fn what_is_no_kdl_is_told_with_its_place() {
+        let error = Sheet::read("day.kdl", "a {\n  b 1\n").err().unwrap();
+        assert!(error.all.iter().all(|m| m.line >= 1) && !error.all.is_empty(), "{error}");
+    }
+
+    #[test]
+    fn times_are_read_with_their_units() {
+        for (text, micros) in [("250us", 250), ("1.5s", 1_500_000), ("2m", 120_000_000), ("800 ms", 800_000)]
+        {
+            assert_eq!(span(text), Some(Duration::from_micros(micros)), "{text}");
+        }
+        for wrong in ["", "5", "ms", "-1s", "5 parsecs", "nans", "1e400s"] {
+            assert_eq!(span(wrong), None, "{wrong}");
+        }
+        for time in [S, S / 2, S / 300_000, Duration::ZERO] {
+            assert_eq!(span(&spelled(time)), Some(Duration::from_micros(time.as_micros() as u64)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/trunk/src/frame.rs
@@ -0,0 +1,306 @@
+//! What is said on a trunk link, by whom to whom.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use lotussaddle::interface::{DialledKey, DialogueId, LaunchNo, Listed, LoadReport, ServerId, ServerNumber};
+use serde::{Deserialize, Serialize};
+
+use crate::texts;
+
+/// A frame and the optional fields that came with it and are unknown here.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Message {
+    #[serde(flatten)]
+    pub frame: Frame,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub extra: Vec<Extra>,
+}
+
+/// A field with a tag of 128 or more that this version does not know.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Extra {
+    pub tag: u8,
+    pub value: Vec<u8>,
+}
+
+impl From<Frame> for Message {
+    fn from(frame: Frame) -> Self {
+        Self { frame, extra: Vec::new() }
+    }
+}
+
+/// Who speaks at the other end of a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Role {
+    Caller,
+    Edge,
+    Core,
+    List,
+}
+
+/// Why a dialogue was not taken; it gets no final answer, since it was never in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum NotTaken {
+    /// The edge proxy holds as many as it may.
+    Full,
+    /// It has had its answer.
+    Concluded,
+    /// Its id is that of another caller's dialogue.
+    NotYours,
+    /// A product, tenant, width or time that the edge proxy does not know.
+    Unknown,
+}
+
+/// How a core server turned a launch back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Cause {
+    /// Too long a wait at its processor.
+    Processor,
+    /// No line free there.
+    Lines,
+    /// All lines of the dialled number are busy.
+    NumberBusy,
+    Fault,
+}
+
+/// How a dialogue that stood came to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum End {
+    /// As its caller wished.
+    Released,
+    /// Cut: a line lost, a processor stopped, a link gone.
+    Cut,
+}
+
+/// What is said. Times are spans: no machine's clock is compared with another's.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "frame", rename_all = "snake_case")]
+pub enum Frame {
+    /// The first frame of each side of a link.
+    Hello(Hello),
+    /// Is the other end still there? Answered by the link, not by a processor.
+    Ping {
+        nonce: u64,
+    },
+    Pong {
+        nonce: u64,
+    },
+    /// The last frame of a link that is closed on purpose.
+    Bye {
+        why: Arc<str>,
+    },
+
+    // Caller to edge proxy
+    Dial(Dial),
+    /// The caller gives this dialogue up, whether it stands or not.
+    HangUp {
+        #[serde(with = "texts::DialogueText")]
+        dialogue: DialogueId,
+    },
+
+    // Edge proxy to caller: the three final answers ...
+    Stands {
+        #[serde(with = "texts::DialogueText")]
+        dialogue: DialogueId,
+        #[serde(with = "texts::ServerText")]
+        server: ServerId,
+    },
+    Refused {
+        #[serde(with = "texts::DialogueText")]
+        dialogue: DialogueId,
+        #[serde(default, skip_serializing_if = "Option::is_none", with = "texts::maybe_micros")]
+        come_back: Option<Duration>,
+    },
+    Failed {
+        #[serde(with = "texts::DialogueText")]
+        dialogue: DialogueId,
+    },
+    /// ... what was never taken ...
+    Declined {
+        #[serde(with = "texts::DialogueText")]
+        dialogue: DialogueId,
+        why: NotTaken,
+    },
+    /// ... and the end of one that stood, where the caller did not hang up.
+    Over {
+        #[serde(with = "texts::DialogueText")]
+        dialogue: DialogueId,
+        end: End,
+    },
+
+    // Edge proxy to core server
+    Launch(Launch),
+    /// The launch is called off; it is answered if the answer is not under way already.
+    Cancel {
+        #[serde(with = "texts::DialogueText")]
+        dialogue: DialogueId,
+        #[serde(with = "texts::LaunchText")]
+        launch: LaunchNo,
+    },
+    /// A dialogue that stands is over.
+    Release {
+        #[serde(with = "texts::DialogueText")]
+        dialogue: DialogueId,
+        #[serde(with = "texts::LaunchText")]
+        launch: LaunchNo,
+    },
+
+    // Core server to edge proxy
+    Stood {
+        #[serde(with = "texts::DialogueText")]
+        dialogue: DialogueId,
+        #[serde(with = "texts::LaunchText")]
+        launch: LaunchNo,
+        #[serde(with = "texts::ReportText")]
+        report: LoadReport,
+    },
+    TurnedBack {
+        #[serde(with = "texts::DialogueText")]
+        dialogue: DialogueId,
+        #[serde(with = "texts::LaunchText")]
+        launch: LaunchNo,
+        cause: Cause,
+        #[serde(with = "texts::ReportText")]
+        report: LoadReport,
+    },
+    /// The launch was broken off before it stood.
+    BrokenOff {
+        #[serde(with = "texts::DialogueText")]
+        dialogue: DialogueId,
+        #[serde(with = "texts::LaunchText")]
+        launch: LaunchNo,
+        #[serde(with = "texts::ReportText")]
+        report: LoadReport,
+    },
+    /// A dialogue that stood is over, or a launch is called off.
+    Ended {
+        #[serde(with = "texts::DialogueText")]
+        dialogue: DialogueId,
+        #[serde(with = "texts::LaunchText")]
+        launch: LaunchNo,
+        end: End,
+        #[serde(with = "texts::ReportText")]
+        report: LoadReport,
+    },
+    Report {
+        #[serde(with = "texts::ReportText")]
+        report: LoadReport,
+    },
+
+    // Pool list to edge proxy
+    List {
+        /// All that is listed; else what has changed.
+        whole: bool,
+        entries: Vec<Entry>,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Hello {
+    pub version: u16,
+    pub role: Role,
+    pub name: Arc<str>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Dial {
+    #[serde(with = "texts::DialogueText")]
+    pub dialogue: DialogueId,
+    /// Stands for what was dialled.
+    #[serde(default, skip_serializing_if = "Option::is_none", with = "texts::maybe_key")]
+    pub key: Option<DialledKey>,
+    pub product: u16,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tenant: Option<u16>,
+    #[serde(with = "texts::NumberText")]
+    pub first_choice: ServerNumber,
+    /// Lines that it takes.
+    pub width: f64,
+    /// Until the caller gives this try up.
+    #[serde(with = "texts::micros")]
+    pub time_left: Duration,
+    /// The caller has dialled before ...
+    pub again: bool,
+    /// ... and stood, and was cut.
+    pub came_back: bool,
+    /// The dialogue that was its first try.
+    #[serde(default, skip_serializing_if = "Option::is_none", with = "texts::maybe_dialogue")]
+    pub try_of: Option<DialogueId>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Launch {
+    #[serde(with = "texts::DialogueText")]
+    pub dialogue: DialogueId,
+    #[serde(with = "texts::LaunchText")]
+    pub launch: LaunchNo,
+    #[serde(default, skip_serializing_if = "Option::is_none", with = "texts::maybe_key")]
+    pub key: Option<DialledKey>,
+    pub product: u16,
+    pub width: f64,
+    /// Until the edge proxy takes it as timed out.
+    #[serde(with = "texts::micros")]
+    pub time_left: Duration,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Entry {
+    #[serde(with = "texts::ServerText")]
+    pub server: ServerId,
+    #[serde(with = "texts::NumberText")]
+    pub number: ServerNumber,
+    /// Where it is reached: an address and port.
+    pub address: Arc<str>,
+    #[serde(with = "listed_text")]
+    pub listed: Listed,
+    /// Which of its lives this is; another one is a start.
+    pub life: u64,
+    /// How long ago that life began; zero: long ago.
+    #[serde(with = "texts::micros")]
+    pub age: Duration,
+}
+
+mod listed_text {
+    use super::*;
+
+    #[derive(Serialize, Deserialize)]
+    #[serde(remote = "Listed")]
+    enum ListedText {
+        Active,
+        Leaving,
+        Gone,
+    }
+
+    pub fn serialize<S: serde::Serializer>(listed: &Listed, out: S) -> Result<S::Ok, S::Error> {
+        ListedText::serialize(listed, out)
+    }
+
+    pub fn deserialize<'de, D: serde::Deserializer<'de>>(input: D) -> Result<Listed, D::Error> {
+        ListedText::deserialize(input)
+    }
+}
+
+impl Frame {
+    /// The dialogue that it speaks of, if one.
+    pub fn dialogue(&self) -> Option<&DialogueId> {
+        use Frame::*;
+        match self {
+            Dial(dial) => Some(&dial.dialogue),
+            Launch(launch) => Some(&launch.dialogue),
+            HangUp { dialogue }
+            | Stands { dialogue, .. }
+            | Refused { dialogue, .. }
+            | Failed { dialogue }
+            | Declined { dialogue, .. }
+            | Over { dialogue, .. }
+            | Cancel { dialogue, .. }
+            | Release { dialogue, .. }
+            | Stood { dialogue, .. }
+            | TurnedBack { dialogue, .. }
+            | BrokenOff { dialogue, .. }
+            | Ended { dialogue, .. } => Some(dialogue),
+            Hello(_) | Ping { .. } | Pong { .. } | Bye { .. } | Report { .. } | List { .. } => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/trunk/src/texts.rs
@@ -0,0 +1,77 @@
+//! How the ids of the interface, its reports and times are written in a record of traffic.
+
+use std::sync::Arc;
+
+use lotussaddle::interface::{DialledKey, DialogueId, LaunchNo, LoadReport, ServerId, ServerNumber};
+use serde::{Deserialize, Serialize};
+
+#[derive(Serialize, Deserialize)]
+#[serde(remote = "DialogueId")]
+pub struct DialogueText(Arc<str>);
+
+#[derive(Serialize, Deserialize)]
+#[serde(remote = "ServerId")]
+pub struct ServerText(Arc<str>);
+
+#[derive(Serialize, Deserialize)]
+#[serde(remote = "ServerNumber")]
+pub struct NumberText(i64);
+
+#[derive(Serialize, Deserialize)]
+#[serde(remote = "LaunchNo")]
+pub struct LaunchText(u32);
+
+/// Times are whole microseconds, on the wire and in a record.
+pub mod micros {
+    use super::*;
+    use std::time::Duration;
+
+    pub fn serialize<S: serde::Serializer>(time: &Duration, out: S) -> Result<S::Ok, S::Error> {
+        out.serialize_u64(time.as_micros() as u64)
+    }
+
+    pub fn deserialize<'de, D: serde::Deserializer<'de>>(input: D) -> Result<Duration, D::Error> {
+        Ok(Duration::from_micros(u64::deserialize(input)?))
+    }
+}
+
+macro_rules! optional {
+    ($module:ident, $whole:ty, $from:expr, $to:expr) => {
+        pub mod $module {
+            use super::*;
+
+            pub fn serialize<S: serde::Serializer>(
+                value: &Option<$whole>, out: S,
+            ) -> Result<S::Ok, S::Error> {
+                value.as_ref().map($to).serialize(out)
+            }
+
+            pub fn deserialize<'de, D: serde::Deserializer<'de>>(
+                input: D,
+            ) -> Result<Option<$whole>, D::Error> {
+                Ok(Option::deserialize(input)?.map($from))
+            }
+        }
+    };
+}
+
+optional!(maybe_key, DialledKey, |text: Arc<str>| DialledKey(text), |key| key.0.clone());
+optional!(maybe_dialogue, DialogueId, |text: Arc<str>| DialogueId(text), |id| id.0.clone());
+optional!(maybe_micros, std::time::Duration, std::time::Duration::from_micros, |t| t.as_micros() as u64);
+
+#[derive(Serialize, Deserialize)]
+#[serde(remote = "LoadReport")]
+pub struct ReportText {
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    free_lines: Option<f64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    lines: Option<f64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    busy: Option<f64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    queue: Option<f64>,
+    #[serde(default, skip_serializing_if = "Option::is_none", with = "maybe_micros")]
+    wait: Option<std::time::Duration>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    rate: Option<f64>,
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -4,14 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct DialogueId(pub Arc<str>);
 
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerId(pub Arc<str>);
 
 /// Stands for what was dialled; a further try of a caller bears the same.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct DialledKey(pub Arc<str>);
 
 /// The number under which dialogues name a core server as their first choice.
@@ -115,7 +115,7 @@
 }
 
 /// What a core server says of itself; what it does not say is absent.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct LoadReport {
     pub free_lines: Option<f64>,
     /// All its lines.
