A dialogue end to end in virtual time: edge proxy, stand-ins, judge, world

The decisions need a program round them that can be run and judged. Adds the edge proxy's state machine round the module's Signalling, core servers, pool list and callers as models, the judge of the five rules and the gain, and a world with links, troubles and a record that a virtual-time driver plays. The serve shell compiles and is not yet driven.

--- /dev/null
+++ b/crates/day/src/days.rs
@@ -0,0 +1,19 @@
+//! The days that come with the program.
+
+use lotussaddle_sheet::{Mistakes, Sheet};
+
+use crate::plan::Day;
+
+/// Names and sheets.
+pub const DAYS: [(&str, &str); 4] = [
+    ("quiet", include_str!("../days/quiet.kdl")),
+    ("sale-week", include_str!("../days/sale-week.kdl")),
+    ("rolling", include_str!("../days/rolling.kdl")),
+    ("cut-off-region", include_str!("../days/cut-off-region.kdl")),
+];
+
+/// One of them by its name.
+pub fn by_name(name: &str) -> Option<Result<Day, Mistakes>> {
+    let (_, text) = DAYS.iter().find(|(known, _)| *known == name)?;
+    Some(Sheet::read(&format!("{name}.kdl"), text).and_then(Day::read))
+}
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -11,7 +11,7 @@
 use crate::hands::{Hands, State};
 use crate::held::{At, Concluded, Counts, Dues, Held, Limits};
 use crate::links::{Far, Kind, Link};
-use crate::{LinkId, Note, Wires};
+use crate::{Decisions, LinkId, Note, Wires};
 
 /// How often links are looked at for silence.
 const SWEEP: Duration = Duration::from_millis(250);
@@ -20,12 +20,12 @@
 /// More lines than this no dialogue takes.
 const WIDEST: f64 = 10_000.0;
 
-pub struct Edge {
+pub struct Edge<D = Brain> {
     name: Arc<str>,
     list: Arc<str>,
     products: usize,
     tenants: usize,
-    brain: Brain,
+    brain: D,
     state: State,
     /// When links are looked at again, and when the list is tried again.
     sweep_at: Duration,
@@ -35,6 +35,15 @@
 impl Edge {
     /// `list` is the address of the pool list.
     pub fn new(name: &str, list: &str, plan: RoutePlan, seed: u64, limits: Limits) -> Self {
+        Self::with(name, list, plan, limits, |plan| Brain::new(plan, seed))
+    }
+}
+
+impl<D: Decisions> Edge<D> {
+    /// With other decisions than the module's, for baselines.
+    pub fn with(
+        name: &str, list: &str, plan: RoutePlan, limits: Limits, decisions: impl FnOnce(RoutePlan) -> D,
+    ) -> Self {
         let state = State {
             limits,
             now: Duration::ZERO,
@@ -55,7 +64,7 @@
             list: Arc::from(list),
             products: plan.products.len(),
             tenants: plan.tenants.len(),
-            brain: Brain::new(plan, seed),
+            brain: decisions(plan),
             state,
             sweep_at: Duration::ZERO,
             list_at: Some(Duration::ZERO),
@@ -502,12 +511,11 @@
                 Some(far) => {
                     if far.life != entry.life || far.address != entry.address {
                         // Another process answers there; what is out on the old link ends with that.
-                        let first_time = far.life != entry.life;
                         renewed.extend(far.link.take());
-                        (far.address, far.life) = (entry.address.clone(), entry.life);
-                        if first_time {
+                        if far.life != entry.life {
                             far.since = since;
                         }
+                        (far.address, far.life) = (entry.address.clone(), entry.life);
                     }
                     far.listed = entry.listed;
                     far
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,11 +4,13 @@
 //! the start, each effect a call on [`Wires`]. It decides nothing about routes, limits or further launches;
 //! that is `lotussaddle::brain`. Start reading at [`Edge`].
 
+mod decisions;
 mod edge;
 mod hands;
 mod held;
 mod links;
 
+pub use decisions::Decisions;
 pub use edge::Edge;
 pub use held::{Counts, Limits};
 
--- a/crates/judge/src/lib.rs
+++ b/crates/judge/src/lib.rs
@@ -1,1 +1,14 @@
-//! The five rules and the gain, told from a record of traffic alone.
+//! The five rules and the gain, told from a record of traffic and from nothing else.
+//!
+//! A record is what passed on the links of the edge proxies, seen at the edge proxies' end by one clock, and what
+//! was done to their processes. The judge knows no model, no decision and no script. Start reading at [`Judge`].
+
+mod gain;
+mod judge;
+mod record;
+mod rules;
+
+pub use gain::{Gain, Times};
+pub use judge::{Judge, Verdict};
+pub use record::{Brief, ColdRule, Line, ProductBrief, TenantBrief, Way, What, read_record, write_line};
+pub use rules::{Break, Rule};
--- a/crates/links/src/hub.rs
+++ b/crates/links/src/hub.rs
@@ -43,10 +43,9 @@
 }
 
 /// What the owner of a hub is told.
-#[derive(Debug)]
 pub enum Happening {
-    /// A link came in at the gate of this number.
-    Came(Token, u32),
+    /// A link came in at the gate of this number; it is closed again unless the hub admits it.
+    Came(Token, u32, Opened),
     /// A link begun by `Hub::connect` is up.
     Up(Token),
     Said(Token, Message),
@@ -54,14 +53,16 @@
     Lost(Token, String),
 }
 
-struct Open {
+/// This end of a link whose threads run.
+pub struct Opened {
     to: Sender<Message>,
-    stream: Option<TcpStream>,
+    stream: Option<Arc<TcpStream>>,
     gone: Arc<AtomicBool>,
     drip: Arc<AtomicU64>,
 }
 
 /// Gives tokens, to a hub and to the threads of its gates.
+#[derive(Clone)]
 pub(crate) struct Tokens(Arc<AtomicU64>);
 
 impl Tokens {
@@ -70,120 +71,95 @@
     }
 }
 
-/// Only its owner's thread calls it; the threads of its links end with their sockets.
+/// Only its owner's thread calls it. None of its calls touches a socket but `reset`: links are begun by a thread
+/// of their own, and the threads of a link end when its end of the queue is let go.
 pub struct Hub {
     bounds: Bounds,
-    next: Arc<AtomicU64>,
+    tokens: Tokens,
     inbox: Sender<Happening>,
-    open: HashMap<Token, Open>,
+    open: HashMap<Token, Opened>,
+    to_begin: Sender<(Ends, String, Receiver<Message>)>,
 }
 
+/// Links that wait to be begun.
+const TO_BEGIN: usize = 1024;
+
 impl Hub {
-    pub fn new(bounds: Bounds) -> (Self, Receiver<Happening>) {
+    pub fn new(bounds: Bounds) -> std::io::Result<(Self, Receiver<Happening>)> {
         let (inbox, happenings) = bounded(bounds.inbox);
-        (Self { bounds, next: Arc::default(), inbox, open: HashMap::new() }, happenings)
+        let (to_begin, begun) = bounded::<(Ends, String, Receiver<Message>)>(TO_BEGIN);
+        let within = bounds.connect_within;
+        thread::Builder::new().name("connector".into()).stack_size(STACK).spawn(move || {
+            while let Ok((ends, address, messages)) = begun.recv() {
+                let refused = ends.clone();
+                let begin = move || ends.begin(&address, within, messages);
+                let begun = thread::Builder::new().name("connect".into()).stack_size(STACK).spawn(begin);
+                if let Err(error) = begun {
+                    refused.lost(format!("no thread for it: {error}"));
+                }
+            }
+        })?;
+        let hub = Self { bounds, tokens: Tokens(Arc::default()), inbox, open: HashMap::new(), to_begin };
+        Ok((hub, happenings))
     }
 
-    pub(crate) fn inbox(&self) -> Sender<Happening> {
-        self.inbox.clone()
+    pub(crate) fn maker(&self) -> Maker {
+        Maker { tokens: self.tokens.clone(), inbox: self.inbox.clone(), bounds: self.bounds.clone() }
     }
 
-    pub(crate) fn tokens(&self) -> Tokens {
-        Tokens(self.next.clone())
-    }
-
-    /// Takes over a link that came in.
-    pub fn adopt(&mut self, token: Token, stream: TcpStream) {
-        let (to, messages) = bounded(self.bounds.queue);
-        let open = Open { to, stream: stream.try_clone().ok(), gone: Arc::default(), drip: Arc::default() };
-        let ends = Ends {
-            token,
-            inbox: self.inbox.clone(),
-            gone: open.gone.clone(),
-            drip: open.drip.clone(),
-            write_within: self.bounds.write_within,
-        };
-        self.open.insert(token, open);
-        if let Err(error) = ends.clone().run(stream, messages) {
-            ends.lost(format!("no thread for it: {error}"));
-        }
+    /// Keeps a link that came in.
+    pub fn admit(&mut self, token: Token, opened: Opened) {
+        self.open.insert(token, opened);
     }
 
     pub fn connect(&mut self, address: &str) -> Token {
-        let token = self.tokens().next();
-        let (to, messages) = bounded(self.bounds.queue);
-        let open = Open { to, stream: None, gone: Arc::default(), drip: Arc::default() };
-        let ends = Ends {
-            token,
-            inbox: self.inbox.clone(),
-            gone: open.gone.clone(),
-            drip: open.drip.clone(),
-            write_within: self.bounds.write_within,
-        };
-        self.open.insert(token, open);
-        let (within, inbox) = (self.bounds.connect_within, self.inbox.clone());
-        let refused = ends.clone();
-        let address: Result<SocketAddr, _> = address.parse();
-        let begun = thread::Builder::new().name("connect".into()).stack_size(STACK).spawn(move || {
-            let stream = match address {
-                Ok(address) => TcpStream::connect_timeout(&address, within).map_err(|e| e.to_string()),
-                Err(_) => Err("its address cannot be read".to_string()),
-            };
-            match stream {
-                Ok(stream) => {
-                    let _ = inbox.send(Happening::Up(token));
-                    if let Err(error) = ends.clone().run(stream, messages) {
-                        ends.lost(format!("no thread for it: {error}"));
-                    }
-                }
-                Err(error) => ends.lost(format!("not reached: {error}")),
-            }
-        });
-        if let Err(error) = begun {
-            refused.lost(format!("no thread for it: {error}"));
+        let token = self.tokens.next();
+        let (ends, opened, messages) = self.maker().link(token);
+        self.open.insert(token, opened);
+        if let Err(TrySendError::Full((ends, ..)) | TrySendError::Disconnected((ends, ..))) =
+            self.to_begin.try_send((ends, address.into(), messages))
+        {
+            // The owner reads this from the channel that it owns: where even that is full, its link is lost
+            // when it next says something there.
+            ends.gone.store(true, Ordering::Relaxed);
+            let _ = self.inbox.try_send(Happening::Lost(token, "too many links to begin".into()));
         }
         token
     }
 
     /// Queues a message; false where the queue is full or the link gone.
     pub fn say(&mut self, token: Token, message: Message) -> bool {
-        let Some(open) = self.open.get(&token) else { return false };
-        !matches!(open.to.try_send(message), Err(TrySendError::Full(_) | TrySendError::Disconnected(_)))
+        self.open.get(&token).is_some_and(|open| open.to.try_send(message).is_ok())
     }
 
-    /// From now on this link is written a byte at a time, so many milliseconds apart; 0: as it comes.
+    /// From now on this link is written a byte at a time, so far apart; zero: as it comes.
     pub fn drip(&mut self, token: Token, gap: Duration) {
         if let Some(open) = self.open.get(&token) {
             open.drip.store(gap.as_millis() as u64, Ordering::Relaxed);
         }
     }
 
-    /// Ends a link; what is queued already is written first where the peer takes it at once. Nothing is told
-    /// of it any more.
+    /// Ends a link, once what is queued has been written. Nothing is told of it any more.
     pub fn close(&mut self, token: Token) {
         if let Some(open) = self.open.remove(&token) {
             open.gone.store(true, Ordering::Relaxed);
-            if let Some(stream) = &open.stream {
-                // The reader sees the end at once; the writer ends when its queue is empty.
-                let _ = stream.shutdown(Shutdown::Read);
-            }
         }
     }
 
-    /// Ends a link so that its peer sees a reset, not an end.
+    /// Ends a link that came in so that its peer sees a reset at once.
     pub fn reset(&mut self, token: Token) {
         if let Some(open) = self.open.remove(&token) {
             open.gone.store(true, Ordering::Relaxed);
             if let Some(stream) = &open.stream {
-                let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
+                let _ = socket2::SockRef::from(&**stream).set_linger(Some(Duration::ZERO));
                 let _ = stream.shutdown(Shutdown::Both);
             }
         }
     }
 
-    /// The owner has read that a link is lost.
-    pub fn forget(&mut self, token: Token) {
-        self.open.remove(&token);
+    /// Messages queued to a link.
+    pub fn queued(&self, token: Token) -> usize {
+        self.open.get(&token).map_or(0, |open| open.to.len())
     }
 
     pub fn links(&self) -> usize {
@@ -191,6 +167,44 @@
     }
 }
 
+/// Makes links, for a hub and for the threads of its gates.
+#[derive(Clone)]
+pub(crate) struct Maker {
+    pub tokens: Tokens,
+    pub inbox: Sender<Happening>,
+    bounds: Bounds,
+}
+
+impl Maker {
+    fn link(&self, token: Token) -> (Ends, Opened, Receiver<Message>) {
+        let (to, messages) = bounded(self.bounds.queue);
+        let opened = Opened { to, stream: None, gone: Arc::default(), drip: Arc::default() };
+        let ends = Ends {
+            token,
+            inbox: self.inbox.clone(),
+            gone: opened.gone.clone(),
+            drip: opened.drip.clone(),
+            write_within: self.bounds.write_within,
+        };
+        (ends, opened, messages)
+    }
+
+    /// Starts the threads of a link that came in, and tells its owner; false where the owner is gone.
+    pub fn came(&self, stream: TcpStream, gate: u32) -> bool {
+        let token = self.tokens.next();
+        let (ends, mut opened, messages) = self.link(token);
+        let stream = Arc::new(stream);
+        opened.stream = Some(stream.clone());
+        if self.inbox.send(Happening::Came(token, gate, opened)).is_err() {
+            return false;
+        }
+        if let Err(error) = ends.clone().run(stream, messages) {
+            ends.lost(format!("no thread for it: {error}"));
+        }
+        true
+    }
+}
+
 /// What the two threads of a link share.
 #[derive(Clone)]
 struct Ends {
@@ -209,10 +223,28 @@
         }
     }
 
-    fn run(self, stream: TcpStream, messages: Receiver<Message>) -> std::io::Result<()> {
+    fn begin(self, address: &str, within: Duration, messages: Receiver<Message>) {
+        let stream = match address.parse::<SocketAddr>() {
+            Ok(address) => TcpStream::connect_timeout(&address, within).map_err(|e| e.to_string()),
+            Err(_) => Err("its address cannot be read".to_string()),
+        };
+        match stream {
+            // Given up meanwhile.
+            _ if self.gone.load(Ordering::Relaxed) => {}
+            Ok(stream) => {
+                let _ = self.inbox.send(Happening::Up(self.token));
+                if let Err(error) = self.clone().run(Arc::new(stream), messages) {
+                    self.lost(format!("no thread for it: {error}"));
+                }
+            }
+            Err(error) => self.lost(format!("not reached: {error}")),
+        }
+    }
+
+    fn run(self, stream: Arc<TcpStream>, messages: Receiver<Message>) -> std::io::Result<()> {
         stream.set_nodelay(true)?;
         stream.set_write_timeout(Some(self.write_within))?;
-        let (read, write) = (stream.try_clone()?, stream);
+        let (read, write) = (stream.clone(), stream);
         let writer = self.clone();
         thread::Builder::new().name("writer".into()).stack_size(STACK).spawn(move || {
             if let Err(error) = writer.write(&write, &messages) {
--- a/crates/links/src/listener.rs
+++ b/crates/links/src/listener.rs
@@ -6,34 +6,32 @@
 use std::thread;
 use std::time::Duration;
 
-use crossbeam_channel::{Sender, bounded};
 use socket2::{Domain, Socket, Type};
 
-use crate::hub::{Happening, Hub, Token};
+use crate::hub::Hub;
 
 const STACK: usize = 64 * 1024;
-/// Links that came in and have not been adopted by the owner; the kernel holds the rest.
-const ARRIVALS: usize = 256;
 
-/// One listening address of a hub. Its owner adopts what came in when it reads [`Happening::Came`].
+/// One listening address of a hub.
 pub struct Gate {
-    pub number: u32,
+    number: u32,
     pub address: SocketAddr,
     shut: Arc<AtomicBool>,
-    came: crossbeam_channel::Receiver<(Token, TcpStream)>,
-    to: Sender<(Token, TcpStream)>,
 }
 
 impl Gate {
     /// Listens at an address; port 0 lets the system choose one.
     pub fn open(hub: &Hub, number: u32, address: SocketAddr) -> std::io::Result<Self> {
-        let (to, came) = bounded(ARRIVALS);
-        let mut gate = Self { number, address, shut: Arc::default(), came, to };
+        let mut gate = Self { number, address, shut: Arc::new(AtomicBool::new(true)) };
         gate.reopen(hub)?;
         Ok(gate)
     }
 
+    /// Listens again, at the address it had.
     pub fn reopen(&mut self, hub: &Hub) -> std::io::Result<()> {
+        if !self.shut.load(Ordering::Relaxed) {
+            return Ok(());
+        }
         let socket = Socket::new(Domain::for_address(self.address), Type::STREAM, None)?;
         socket.set_reuse_address(true)?;
         socket.bind(&self.address.into())?;
@@ -41,8 +39,7 @@
         let listener: TcpListener = socket.into();
         self.address = listener.local_addr()?;
         self.shut = Arc::default();
-        let (shut, inbox, to, number) = (self.shut.clone(), hub.inbox(), self.to.clone(), self.number);
-        let tokens = hub.tokens();
+        let (shut, maker, number) = (self.shut.clone(), hub.maker(), self.number);
         thread::Builder::new().name("gate".into()).stack_size(STACK).spawn(move || {
             loop {
                 let accepted = listener.accept();
@@ -51,10 +48,7 @@
                 }
                 match accepted {
                     Ok((stream, _)) => {
-                        let token = tokens.next();
-                        if to.send((token, stream)).is_err()
-                            || inbox.send(Happening::Came(token, number)).is_err()
-                        {
+                        if !maker.came(stream, number) {
                             return;
                         }
                     }
@@ -73,16 +67,6 @@
             let _ = TcpStream::connect_timeout(&self.address, Duration::from_millis(200));
         }
     }
-
-    /// The stream of a link that came in here.
-    pub fn take(&self, token: Token) -> Option<TcpStream> {
-        while let Ok((came, stream)) = self.came.try_recv() {
-            if came == token {
-                return Some(stream);
-            }
-        }
-        None
-    }
 }
 
 impl Drop for Gate {
--- /dev/null
+++ b/crates/serve/src/run.rs
@@ -0,0 +1,110 @@
+//! The decision thread.
+
+use std::io::Write;
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, Result};
+use crossbeam_channel::RecvTimeoutError;
+use lotussaddle::brain::Brain;
+use lotussaddle::interface::RoutePlan;
+use lotussaddle_edge::{Decisions, Edge, LinkId, Note, Wires};
+use lotussaddle_links::{Bounds, Gate, Happening, Hub, Token};
+use lotussaddle_trunk::{Frame, Message};
+
+use crate::logs::{Log, LogLine};
+use crate::sheet::EdgeSheet;
+
+/// Inputs taken before due times are looked at again.
+const ROUND: usize = 256;
+/// Between two lines of counts in the log.
+const COUNTS_EVERY: Duration = Duration::from_secs(10);
+
+struct Sockets {
+    hub: Hub,
+    log: Log,
+}
+
+impl Wires for Sockets {
+    fn say(&mut self, link: LinkId, message: Message) -> bool {
+        self.hub.say(Token(link.0), message)
+    }
+
+    fn connect(&mut self, address: &str) -> LinkId {
+        LinkId(self.hub.connect(address).0)
+    }
+
+    fn close(&mut self, link: LinkId, why: &str) {
+        // The peer is told why, where it still takes anything.
+        let why: String = why.chars().filter(|c| !c.is_control()).take(100).collect();
+        let _ = self.hub.say(Token(link.0), Frame::Bye { why: why.into() }.into());
+        self.hub.close(Token(link.0));
+    }
+
+    fn log(&mut self, note: Note, line: &str) {
+        self.log.put(LogLine::Said(note, line.into()));
+    }
+}
+
+/// Runs an edge proxy until the process ends. Prints the address it listens at as the first line of standard
+/// output, so that whoever started it with port 0 learns the port.
+pub fn serve(sheet: EdgeSheet) -> Result<()> {
+    serve_with(sheet, Brain::new)
+}
+
+/// The same with other decisions than the module's, for baselines.
+pub fn serve_with<D: Decisions>(sheet: EdgeSheet, decisions: impl FnOnce(RoutePlan, u64) -> D) -> Result<()> {
+    let bounds = Bounds { connect_within: sheet.limits.connect_within, ..Bounds::default() };
+    let (hub, happenings) = Hub::new(bounds).context("no thread to begin links")?;
+    let gate =
+        Gate::open(&hub, 0, sheet.listen).with_context(|| format!("cannot listen at {}", sheet.listen))?;
+    let seed =
+        sheet.seed.unwrap_or_else(|| std::hash::BuildHasher::hash_one(&std::hash::RandomState::new(), 0));
+    let decisions = |plan| decisions(plan, seed);
+    let mut edge = Edge::with(&sheet.name, &sheet.list, sheet.plan.plan(), sheet.limits.clone(), decisions);
+    let mut wires = Sockets { hub, log: Log::begin(sheet.name.clone()).context("no thread for the log")? };
+    println!("listening {}", gate.address);
+    let _ = std::io::stdout().flush();
+    wires.log(Note::Link, &format!("listening at {}", gate.address));
+
+    let start = Instant::now();
+    let mut counts_at = COUNTS_EVERY;
+    loop {
+        let wait = edge.next_due().saturating_sub(start.elapsed());
+        let mut next = match happenings.recv_timeout(wait) {
+            Ok(happening) => Some(happening),
+            Err(RecvTimeoutError::Timeout) => None,
+            Err(RecvTimeoutError::Disconnected) => return Ok(()),
+        };
+        for _ in 0..ROUND {
+            let Some(happening) = next else { break };
+            take(&mut edge, start.elapsed(), happening, &mut wires);
+            next = happenings.try_recv().ok();
+        }
+        if let Some(happening) = next {
+            take(&mut edge, start.elapsed(), happening, &mut wires);
+        }
+        let now = start.elapsed();
+        if edge.next_due() <= now {
+            edge.alarm(now, &mut wires);
+        }
+        if now >= counts_at {
+            counts_at = now + COUNTS_EVERY;
+            wires.log.put(LogLine::Counts(Box::new(edge.counts().clone()), edge.sizes()));
+        }
+    }
+}
+
+fn take<D: Decisions>(edge: &mut Edge<D>, now: Duration, happening: Happening, wires: &mut Sockets) {
+    match happening {
+        Happening::Came(token, _, opened) => {
+            wires.hub.admit(token, opened);
+            edge.linked(now, LinkId(token.0), wires);
+        }
+        Happening::Up(token) => edge.connected(now, LinkId(token.0), wires),
+        Happening::Said(token, message) => edge.heard(now, LinkId(token.0), message, wires),
+        Happening::Lost(token, why) => {
+            wires.hub.close(token);
+            edge.lost(now, LinkId(token.0), &why, wires);
+        }
+    }
+}
--- /dev/null
+++ b/crates/serve/src/sheet.rs
@@ -0,0 +1,284 @@
+//! What an edge proxy is told at its start: EDGE.kdl.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use lotussaddle::interface::{Product, RoutePlan, ServerNumber, Tenant};
+use lotussaddle_edge::Limits;
+use lotussaddle_sheet::{Block, Mistakes, Sheet, spelled};
+
+const MS: Duration = Duration::from_millis(1);
+const S: Duration = Duration::from_secs(1);
+const HOUR: Duration = Duration::from_secs(3600);
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct EdgeSheet {
+    pub name: String,
+    pub listen: SocketAddr,
+    /// Address of the pool list.
+    pub list: String,
+    /// Chance; none: drawn from the system at the start.
+    pub seed: Option<u64>,
+    pub limits: Limits,
+    pub plan: RouteSheet,
+}
+
+/// The figures of the fleet that the decisions need.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RouteSheet {
+    pub proxies: u32,
+    pub products: Vec<ProductSheet>,
+    pub tenants: Vec<TenantSheet>,
+    pub over_quota_share: f64,
+    pub tick: Duration,
+    pub release: Duration,
+    pub resend: Duration,
+    pub max_launches: u32,
+    pub marks_again: bool,
+    pub may_cancel: bool,
+    pub longest_return: Duration,
+    pub cold_share: f64,
+    pub warm_after: Duration,
+    pub fall_multiple: f64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct ProductSheet {
+    pub name: String,
+    pub promised: Duration,
+    pub lasts: Duration,
+    pub cut_off: Duration,
+    pub gain: f64,
+    pub late_share: f64,
+    /// Numbers of the core servers that can take it; none: any can.
+    pub cores: Option<Vec<i64>>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct TenantSheet {
+    pub name: String,
+    pub quota: f64,
+}
+
+impl EdgeSheet {
+    pub fn load(path: &Path) -> Result<Self, Mistakes> {
+        Self::read(Sheet::load(path)?)
+    }
+
+    pub fn read(sheet: Sheet) -> Result<Self, Mistakes> {
+        let found = {
+            let root = sheet.root();
+            let listen = root.text("listen", None);
+            let at = root.maybe("listen");
+            let listen = listen.parse().unwrap_or_else(|_| {
+                if let Some(node) = at.filter(|_| !listen.is_empty()) {
+                    node.wrong(format!(
+                        "listen wants an address and port such as \"127.0.0.1:4000\", not {listen}"
+                    ));
+                }
+                SocketAddr::from(([127, 0, 0, 1], 0))
+            });
+            if let Some(node) = at.filter(|_| !listen.ip().is_loopback()) {
+                node.wrong(format!("listen wants a loopback address, not {listen}"));
+            }
+            let limits = root.maybe("limits").map(|node| limits(&node.block())).unwrap_or_default();
+            let seed = root.maybe("seed").and_then(|node| node.whole(0, 0..=u64::MAX));
+            let plan = root.need("plan").map(|node| RouteSheet::read(&node.block()));
+            Self {
+                name: root.text("name", None),
+                listen,
+                list: root.text("list", None),
+                seed,
+                limits,
+                plan: plan.unwrap_or_else(RouteSheet::empty),
+            }
+        };
+        sheet.finish()?;
+        Ok(found)
+    }
+
+    /// The sheet as it would be written; `read` gives the same back.
+    pub fn kdl(&self) -> String {
+        let mut out = String::new();
+        let _ = writeln!(out, "name {:?}\nlisten \"{}\"\nlist {:?}", self.name, self.listen, self.list);
+        if let Some(seed) = self.seed {
+            let _ = writeln!(out, "seed {seed}");
+        }
+        let l = &self.limits;
+        let _ = writeln!(
+            out,
+            "limits {{\n  dialogues {}\n  links {}\n  fresh {}\n  queued {}\n  remembered {}\n  hello-within {:?}\n  \
+             ask-after {:?}\n  dead-after {:?}\n  connect-within {:?}\n  remember-for {:?}\n  release-within {:?}\n}}",
+            l.dialogues,
+            l.links,
+            l.fresh,
+            l.queued,
+            l.remembered,
+            spelled(l.hello_within),
+            spelled(l.ask_after),
+            spelled(l.dead_after),
+            spelled(l.connect_within),
+            spelled(l.remember_for),
+            spelled(l.release_within),
+        );
+        let _ = write!(out, "plan {{\n{}}}\n", self.plan.kdl("  "));
+        out
+    }
+}
+
+fn limits(block: &Block) -> Limits {
+    let usual = Limits::default();
+    let count = |name, most, usual: usize| block.whole(name, 1..=most, Some(usual as u64)) as usize;
+    let time = |name, usual| block.time(name, MS..=HOUR, Some(usual));
+    Limits {
+        dialogues: count("dialogues", 10_000_000, usual.dialogues),
+        links: count("links", 10_000, usual.links),
+        fresh: count("fresh", 10_000, usual.fresh),
+        queued: count("queued", 100_000, usual.queued),
+        remembered: count("remembered", 10_000_000, usual.remembered),
+        hello_within: time("hello-within", usual.hello_within),
+        ask_after: time("ask-after", usual.ask_after),
+        dead_after: time("dead-after", usual.dead_after),
+        connect_within: time("connect-within", usual.connect_within),
+        remember_for: time("remember-for", usual.remember_for),
+        release_within: time("release-within", usual.release_within),
+    }
+}
+
+impl RouteSheet {
+    /// Stands in while mistakes are gathered; `finish` keeps it from being used.
+    pub fn empty() -> Self {
+        Self {
+            proxies: 1,
+            products: Vec::new(),
+            tenants: Vec::new(),
+            over_quota_share: 0.0,
+            tick: MS,
+            release: Duration::ZERO,
+            resend: Duration::ZERO,
+            max_launches: 1,
+            marks_again: true,
+            may_cancel: true,
+            longest_return: Duration::ZERO,
+            cold_share: 1.0,
+            warm_after: S,
+            fall_multiple: 1.0,
+        }
+    }
+
+    pub fn read(block: &Block) -> Self {
+        let mut products: Vec<ProductSheet> = Vec::new();
+        for node in block.many("product") {
+            let name = node.text(0).unwrap_or_default();
+            if products.iter().any(|known| known.name == name) {
+                node.wrong(format!("product {name} stands here a second time"));
+            }
+            let inner = node.block();
+            let cores = inner.maybe("cores").map(|node| {
+                (0..node.arguments()).filter_map(|n| node.whole(n, 0..=1_000_000)).map(|n| n as i64).collect()
+            });
+            let product = ProductSheet {
+                name,
+                promised: inner.time("promised", MS..=HOUR, None),
+                lasts: inner.time("lasts", MS..=HOUR, None),
+                cut_off: inner.time("cut-off", MS..=HOUR, None),
+                gain: inner.real("gain", 1e-6..=1e6, Some(1.0)),
+                late_share: inner.real("late-share", 0.0..=1.0, Some(0.0)),
+                cores,
+            };
+            if product.cut_off < product.promised {
+                inner.wrong(format!("product {}: its cut-off is before its promised time", product.name));
+            }
+            products.push(product);
+        }
+        if products.is_empty() {
+            block.wrong("product is missing: a plan needs one at least");
+        }
+        if products.len() > 1000 {
+            block.wrong("over 1000 products");
+        }
+        let tenants = block.many("tenant").into_iter().map(|node| TenantSheet {
+            name: node.text(0).unwrap_or_default(),
+            quota: node.block().real("quota", 1e-6..=1e9, None),
+        });
+        Self {
+            tenants: tenants.collect(),
+            products,
+            proxies: block.whole("proxies", 1..=100_000, None) as u32,
+            over_quota_share: block.real("over-quota-share", 0.0..=1.0, Some(0.2)),
+            tick: block.time("tick", MS..=S, Some(MS * 5)),
+            release: block.time("release", Duration::ZERO..=S * 60, None),
+            resend: block.time("resend", Duration::ZERO..=S * 60, Some(Duration::ZERO)),
+            max_launches: block.whole("max-launches", 1..=1000, Some(6)) as u32,
+            marks_again: block.flag("marks-again", Some(true)),
+            may_cancel: block.flag("may-cancel", Some(true)),
+            longest_return: block.time("longest-return", Duration::ZERO..=HOUR, Some(Duration::ZERO)),
+            cold_share: block.real("cold-share", 0.01..=1.0, None),
+            warm_after: block.time("warm-after", MS..=HOUR, None),
+            fall_multiple: block.real("fall-multiple", 1.0..=1000.0, None),
+        }
+    }
+
+    /// What stands between the braces of a `plan` block.
+    pub fn kdl(&self, indent: &str) -> String {
+        let mut lines = vec![
+            format!("proxies {}", self.proxies),
+            format!("tick {:?}", spelled(self.tick)),
+            format!("release {:?}", spelled(self.release)),
+            format!("resend {:?}", spelled(self.resend)),
+            format!("max-launches {}", self.max_launches),
+            format!("marks-again #{}", self.marks_again),
+            format!("may-cancel #{}", self.may_cancel),
+            format!("longest-return {:?}", spelled(self.longest_return)),
+            format!("cold-share {:?}", self.cold_share),
+            format!("warm-after {:?}", spelled(self.warm_after)),
+            format!("fall-multiple {:?}", self.fall_multiple),
+            format!("over-quota-share {:?}", self.over_quota_share),
+        ];
+        for product in &self.products {
+            lines.push(format!("product {:?} {{", product.name));
+            lines.push(format!("  promised {:?}", spelled(product.promised)));
+            lines.push(format!("  lasts {:?}", spelled(product.lasts)));
+            lines.push(format!("  cut-off {:?}", spelled(product.cut_off)));
+            lines.push(format!("  gain {:?}\n{indent}  late-share {:?}", product.gain, product.late_share));
+            if let Some(cores) = &product.cores {
+                let cores: Vec<String> = cores.iter().map(i64::to_string).collect();
+                lines.push(format!("  cores {}", cores.join(" ")));
+            }
+            lines.push("}".into());
+        }
+        for tenant in &self.tenants {
+            lines.push(format!("tenant {:?} {{ quota {:?}; }}", tenant.name, tenant.quota));
+        }
+        lines.iter().map(|line| format!("{indent}{line}\n")).collect()
+    }
+
+    pub fn plan(&self) -> RoutePlan {
+        let products = self.products.iter().map(|p| Product {
+            promised: p.promised,
+            lasts: p.lasts,
+            patience: p.cut_off,
+            gain: p.gain,
+            late_share: p.late_share,
+            servers: p.cores.as_ref().map(|cores| cores.iter().copied().map(ServerNumber).collect()),
+        });
+        RoutePlan {
+            proxies: self.proxies,
+            products: products.collect(),
+            tenants: self.tenants.iter().map(|t| Tenant { quota: t.quota }).collect(),
+            over_quota_share: self.over_quota_share,
+            tick: self.tick,
+            release: self.release,
+            resend: self.resend,
+            max_launches: self.max_launches,
+            marks_again: self.marks_again,
+            may_cancel: self.may_cancel,
+            longest_return: self.longest_return,
+            cold_share: self.cold_share,
+            warm_after: self.warm_after,
+            fall_multiple: self.fall_multiple,
+        }
+    }
+}
--- a/crates/sheet/src/lib.rs
+++ b/crates/sheet/src/lib.rs
@@ -47,7 +47,7 @@
 }
 
 fn place(text: &str, offset: usize) -> (usize, usize) {
-    let before = &text[..text.floor_char_boundary(offset.min(text.len()))];
+    let before = &text[..text.floor_char_boundary(offset)];
     let line = before.matches('\n').count() + 1;
     let column = before.rsplit('\n').next().unwrap_or_default().chars().count() + 1;
     (line, column)
--- /dev/null
+++ b/crates/standin/src/crowd.rs
@@ -0,0 +1,387 @@
+//! Callers: they dial, wait, talk, hang up, and dial again where they were let go.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use lotussaddle::interface::{DialledKey, DialogueId, ServerNumber};
+use lotussaddle_trunk::{Dial, End, Frame, Hello, Message, Role, VERSION};
+use rand::{RngExt, SeedableRng};
+use rand_distr::{Distribution, Exp};
+use rand_pcg::Pcg64Mcg;
+
+use crate::Floor;
+
+/// A caller whose link is gone notices after this time at most, and a link is begun anew after it.
+const NOTICE: Duration = Duration::from_millis(400);
+
+#[derive(Clone, Debug)]
+pub struct CallerProduct {
+    /// Part of all dialogues.
+    pub share: f64,
+    pub promised: Duration,
+    pub cut_off: Duration,
+    pub lasts: Duration,
+    /// The numbers of the core servers that may be a first choice.
+    pub choices: Vec<i64>,
+}
+
+#[derive(Clone, Debug)]
+pub struct CrowdTenant {
+    pub share: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct CrowdFigures {
+    pub name: Arc<str>,
+    /// First dials a second.
+    pub rate: f64,
+    pub products: Vec<CallerProduct>,
+    pub tenants: Vec<CrowdTenant>,
+    /// Edge proxies, and the part of the callers at each.
+    pub edges: Vec<f64>,
+    /// Further tries, at most.
+    pub tries: u32,
+    /// A try is given up after this part of the cut-off.
+    pub try_share: (f64, f64),
+    /// Before a further try, on average.
+    pub wait: Duration,
+    /// Chance that a come-back time is heeded.
+    pub heeds: f64,
+    /// Where first choices go shifts this often; zero: never.
+    pub shifts: Duration,
+    /// No first dial comes after this time.
+    pub until: Duration,
+}
+
+/// What the callers are up to just now.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Mood {
+    /// Dials come so many times as fast.
+    pub surge: f64,
+    /// This share comes with so little time left, in parts of the promised time.
+    pub hurried: Option<(f64, f64)>,
+    /// This tenant's callers give up after such a part of the promised time and dial so many more times, at once.
+    pub redialling: Option<(usize, f64, u32)>,
+}
+
+impl Default for Mood {
+    fn default() -> Self {
+        Self { surge: 1.0, hurried: None, redialling: None }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Caller {
+    product: usize,
+    tenant: Option<usize>,
+    key: DialledKey,
+    choice: ServerNumber,
+    first: DialogueId,
+    first_at: Duration,
+    tries: u32,
+    came_back: bool,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Asked,
+    Stands,
+}
+
+struct Call {
+    caller: Caller,
+    edge: usize,
+    stage: Stage,
+    hang_up_at: Duration,
+}
+
+enum Due {
+    NextDial,
+    HangUp(DialogueId),
+    DialAgain(Caller),
+    DialIn(usize),
+    Shift,
+}
+
+pub struct Crowd {
+    pub figures: CrowdFigures,
+    pub mood: Mood,
+    rng: Pcg64Mcg,
+    /// Link to each edge proxy, where it is up.
+    links: Vec<Option<u64>>,
+    edges: BTreeMap<u64, usize>,
+    calls: HashMap<DialogueId, Call>,
+    /// Dialogues at each edge proxy.
+    at_edge: Vec<BTreeSet<DialogueId>>,
+    dues: BTreeMap<(Duration, u64), Due>,
+    count: u64,
+    dialled: u64,
+    /// Where first choices go now: a weight for each place in a product's choices.
+    shift: u64,
+}
+
+impl Crowd {
+    pub fn new(figures: CrowdFigures, seed: u64) -> Self {
+        let edges = figures.edges.len();
+        let mut crowd = Self {
+            mood: Mood::default(),
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            links: vec![None; edges],
+            edges: BTreeMap::new(),
+            calls: HashMap::new(),
+            at_edge: vec![BTreeSet::new(); edges],
+            dues: BTreeMap::new(),
+            count: 0,
+            dialled: 0,
+            shift: 0,
+            figures,
+        };
+        for edge in 0..edges {
+            crowd.due(Duration::ZERO, Due::DialIn(edge));
+        }
+        crowd
+    }
+
+    /// From now on dials come.
+    pub fn begin(&mut self, now: Duration) {
+        self.due(now, Due::NextDial);
+        if !self.figures.shifts.is_zero() {
+            self.due(now + self.figures.shifts, Due::Shift);
+        }
+    }
+
+    /// Dialogues that are asked for or stand.
+    pub fn open(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Dialogues that are asked for and not answered.
+    pub fn asked(&self) -> usize {
+        self.calls.values().filter(|call| call.stage == Stage::Asked).count()
+    }
+
+    pub fn linked_to(&self) -> usize {
+        self.links.iter().flatten().count()
+    }
+
+    fn due(&mut self, at: Duration, due: Due) {
+        self.count += 1;
+        self.dues.insert((at, self.count), due);
+    }
+
+    // Inputs
+
+    pub fn linked(&mut self, edge: usize, link: u64, floor: &mut dyn Floor) {
+        self.edges.insert(link, edge);
+        let hello = Hello { version: VERSION, role: Role::Caller, name: self.figures.name.clone() };
+        floor.say(link, Frame::Hello(hello).into());
+    }
+
+    pub fn lost(&mut self, now: Duration, link: u64) {
+        let Some(edge) = self.edges.remove(&link) else { return };
+        if self.links[edge] == Some(link) {
+            self.links[edge] = None;
+        }
+        self.due(now + NOTICE / 2, Due::DialIn(edge));
+        for id in std::mem::take(&mut self.at_edge[edge]) {
+            let Some(call) = self.calls.remove(&id) else { continue };
+            let mut caller = call.caller;
+            caller.came_back |= call.stage == Stage::Stands;
+            let notices = NOTICE.mul_f64(self.rng.random::<f64>());
+            self.try_again(now, caller, notices);
+        }
+    }
+
+    /// A link could not be made.
+    pub fn refused(&mut self, now: Duration, edge: usize) {
+        self.due(now + NOTICE / 2, Due::DialIn(edge));
+    }
+
+    pub fn heard(&mut self, now: Duration, link: u64, message: Message, floor: &mut dyn Floor) {
+        let Some(&edge) = self.edges.get(&link) else { return };
+        match message.frame {
+            Frame::Ping { nonce } => floor.say(link, Frame::Pong { nonce }.into()),
+            Frame::Hello(_) => self.links[edge] = Some(link),
+            Frame::Stands { dialogue, .. } => {
+                let Some(call) = self.calls.get_mut(&dialogue) else {
+                    // It crossed the hang-up, which releases it.
+                    return;
+                };
+                let lasts = self.figures.products[call.caller.product].lasts.as_secs_f64();
+                let lasts = Exp::new(1.0 / lasts).map_or(lasts, |exp| exp.sample(&mut self.rng));
+                call.stage = Stage::Stands;
+                call.hang_up_at = now + Duration::from_secs_f64(lasts);
+                let at = call.hang_up_at;
+                self.due(at, Due::HangUp(dialogue));
+            }
+            Frame::Refused { dialogue, come_back } => self.let_go(now, &dialogue, come_back),
+            Frame::Failed { dialogue } | Frame::Declined { dialogue, .. } => {
+                self.let_go(now, &dialogue, None)
+            }
+            Frame::Over { dialogue, end } => {
+                if let Some(call) = self.forget(&dialogue)
+                    && end == End::Cut
+                {
+                    let caller = Caller { came_back: true, ..call.caller };
+                    let wait = self.figures.wait;
+                    self.try_again(now, caller, wait);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    pub fn next_due(&self) -> Option<Duration> {
+        self.dues.first_key_value().map(|((at, _), _)| *at)
+    }
+
+    pub fn alarm(&mut self, now: Duration, floor: &mut dyn Floor) {
+        while let Some(entry) = self.dues.first_entry()
+            && entry.key().0 <= now
+        {
+            match entry.remove() {
+                Due::NextDial => self.next_dial(now, floor),
+                Due::HangUp(id) => self.hang_up(now, &id, floor),
+                Due::DialAgain(caller) => self.dial(now, caller, floor),
+                Due::DialIn(edge) if self.links[edge].is_none() => floor.dial_in(edge),
+                Due::DialIn(_) => {}
+                Due::Shift => {
+                    self.shift += 1;
+                    self.due(now + self.figures.shifts, Due::Shift);
+                }
+            }
+        }
+    }
+
+    // Callers
+
+    fn next_dial(&mut self, now: Duration, floor: &mut dyn Floor) {
+        if now >= self.figures.until {
+            return;
+        }
+        let rate = self.figures.rate * self.mood.surge;
+        let gap = Exp::new(rate).map_or(1.0, |exp| exp.sample(&mut self.rng));
+        self.due(now + Duration::from_secs_f64(gap), Due::NextDial);
+        let product = self.pick(|f| f.products.iter().map(|p| p.share).collect());
+        let tenants = self.figures.tenants.len();
+        let tenant = (tenants > 0).then(|| self.pick(|f| f.tenants.iter().map(|t| t.share).collect()));
+        let choices = &self.figures.products[product].choices;
+        // First choices lean to one server, another after each shift.
+        let lean = self.shift as usize % choices.len().max(1);
+        let place =
+            if self.rng.random::<f64>() < 0.2 { lean } else { self.rng.random_range(0..choices.len()) };
+        let choice = ServerNumber(choices[place]);
+        self.dialled += 1;
+        let first = DialogueId(Arc::from(format!("{}-{}", self.figures.name, self.dialled)));
+        let key = DialledKey(Arc::from(format!("k{}", self.dialled)));
+        let caller =
+            Caller { product, tenant, key, choice, first, first_at: now, tries: 0, came_back: false };
+        self.dial(now, caller, floor);
+    }
+
+    fn pick(&mut self, weights: impl Fn(&CrowdFigures) -> Vec<f64>) -> usize {
+        let weights = weights(&self.figures);
+        let mut left = self.rng.random::<f64>() * weights.iter().sum::<f64>();
+        for (place, weight) in weights.iter().enumerate() {
+            left -= weight;
+            if left < 0.0 {
+                return place;
+            }
+        }
+        weights.len() - 1
+    }
+
+    fn dial(&mut self, now: Duration, caller: Caller, floor: &mut dyn Floor) {
+        // Callers go to an edge proxy that is up; where none is, they try again soon.
+        let up: Vec<f64> = (0..self.links.len())
+            .map(|e| if self.links[e].is_some() { self.figures.edges[e] } else { 0.0 })
+            .collect();
+        if up.iter().all(|weight| *weight == 0.0) {
+            return self.try_again(now, caller, NOTICE);
+        }
+        let edge = self.pick(|_| up.clone());
+        let link = self.links[edge].expect("it is up");
+        let product = self.figures.products[caller.product].clone();
+        let patience = caller.first_at + product.cut_off;
+        let (least, most) = self.figures.try_share;
+        let mut left = product.cut_off.mul_f64(self.rng.random_range(least..=most));
+        if let Some((share, part)) = self.mood.hurried
+            && self.rng.random::<f64>() < share
+        {
+            left = product.promised.mul_f64(part);
+        }
+        if let Some((tenant, part, _)) = self.mood.redialling
+            && caller.tenant == Some(tenant)
+        {
+            left = product.promised.mul_f64(part);
+        }
+        let left = left.min(patience.saturating_sub(now));
+        if left < Duration::from_millis(1) {
+            return;
+        }
+        let again = caller.tries > 0;
+        let dialogue = if again {
+            DialogueId(Arc::from(format!("{}.{}", caller.first.0, caller.tries)))
+        } else {
+            caller.first.clone()
+        };
+        let frame = Frame::Dial(Dial {
+            dialogue: dialogue.clone(),
+            key: Some(caller.key.clone()),
+            product: caller.product as u16,
+            tenant: caller.tenant.map(|t| t as u16),
+            first_choice: caller.choice,
+            width: 1.0,
+            time_left: left,
+            again,
+            came_back: caller.came_back,
+            try_of: again.then(|| caller.first.clone()),
+        });
+        self.at_edge[edge].insert(dialogue.clone());
+        self.due(now + left, Due::HangUp(dialogue.clone()));
+        self.calls.insert(dialogue, Call { caller, edge, stage: Stage::Asked, hang_up_at: now + left });
+        floor.say(link, frame.into());
+    }
+
+    fn forget(&mut self, id: &DialogueId) -> Option<Call> {
+        let call = self.calls.remove(id)?;
+        self.at_edge[call.edge].remove(id);
+        Some(call)
+    }
+
+    /// A caller that was let go dials again, if it does.
+    fn let_go(&mut self, now: Duration, id: &DialogueId, come_back: Option<Duration>) {
+        let Some(call) = self.forget(id) else { return };
+        let heeds = self.rng.random::<f64>() < self.figures.heeds;
+        let wait = self.figures.wait.mul_f64(0.5 + self.rng.random::<f64>());
+        let wait =
+            come_back.filter(|_| heeds).map_or(wait, |told| told.mul_f64(1.0 + self.rng.random::<f64>()));
+        self.try_again(now, call.caller, wait);
+    }
+
+    fn try_again(&mut self, now: Duration, mut caller: Caller, wait: Duration) {
+        let redials = self.mood.redialling.filter(|(tenant, ..)| caller.tenant == Some(*tenant));
+        let (tries, wait) = redials.map_or((self.figures.tries, wait), |(_, _, more)| (more, Duration::ZERO));
+        let cut_off = self.figures.products[caller.product].cut_off;
+        if caller.tries < tries && now + wait < caller.first_at + cut_off {
+            caller.tries += 1;
+            self.due(now + wait.max(Duration::from_millis(1)), Due::DialAgain(caller));
+        }
+    }
+
+    fn hang_up(&mut self, now: Duration, id: &DialogueId, floor: &mut dyn Floor) {
+        let Some(call) = self.calls.get(id) else { return };
+        if call.hang_up_at > now {
+            return; // Set before it stood.
+        }
+        let Some(call) = self.forget(id) else { return };
+        if let Some(link) = self.links[call.edge] {
+            floor.say(link, Frame::HangUp { dialogue: id.clone() }.into());
+        }
+        if call.stage == Stage::Asked {
+            let wait = self.figures.wait.mul_f64(0.5 + self.rng.random::<f64>());
+            self.try_again(now, call.caller, wait);
+        }
+    }
+}
