--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,36 +1,148 @@
-//! The command `lotussaddle`.
+//! The command `lotussaddle`: edge proxy, stand-ins, days. Errors go to standard error in one plain message; the
+//! exit code is 2 for bad usage or input, 1 for a broken rule or a failed check, 0 else.
+
+mod days;
+mod report;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
 
 use anyhow::Result;
+use clap::{Parser, Subcommand, ValueEnum};
+use lotussaddle_serve::{EdgeSheet, LogForm};
+use lotussaddle_sheet::Mistakes;
+
+#[derive(Parser)]
+#[command(name = "lotussaddle", version, about = "A call router that sets calls up over trunk groups")]
+struct Command {
+    /// How the log is written, on standard error.
+    #[arg(long, value_enum, default_value = "text", global = true)]
+    log_format: LogFormat,
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum LogFormat {
+    Text,
+    Json,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// An embedded fleet on loopback, a bad day, and the verdict.
+    Demo {
+        /// How long dials come.
+        #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(3..=50))]
+        seconds: u64,
+        #[arg(long)]
+        seed: Option<u64>,
+        /// Keep the record, the verdict, the sheets and the logs here.
+        #[arg(long)]
+        out: Option<PathBuf>,
+    },
+    /// Runs an edge proxy until it is killed.
+    Serve {
+        sheet: PathBuf,
+        /// End when standard input ends.
+        #[arg(long, hide = true)]
+        tied: bool,
+        #[arg(long, hide = true)]
+        baseline: Option<String>,
+    },
+    /// Reads the configuration of an edge proxy and tells all its mistakes.
+    Check { sheet: PathBuf },
+    /// Runs a stand-in by itself.
+    Standin {
+        #[arg(value_enum)]
+        which: Which,
+        sheet: PathBuf,
+    },
+    /// Days: a fleet, its load and its troubles.
+    Day {
+        #[command(subcommand)]
+        what: days::DayCommand,
+    },
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum Which {
+    Core,
+    List,
+    Callers,
+}
+
+/// A rule was broken, or a check failed; what is to be said is said.
+#[derive(Debug)]
+pub struct Failed;
+
+impl std::fmt::Display for Failed {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        f.write_str("failed")
+    }
+}
+
+impl std::error::Error for Failed {}
 
-fn main() -> Result<()> {
-    for (name, _) in lotussaddle_day::days::DAYS {
-        let day = lotussaddle_day::days::by_name(name).unwrap()?;
-        let t = std::time::Instant::now();
-        let played = lotussaddle_day::virt::play(&day)?;
-        let v = &played.verdict;
-        println!("{name} {:?} lines {} {:?}", t.elapsed(), played.lines.len(), v.broken);
-        println!("{}", serde_json::to_string(&v.gain)?);
-        println!(
-            "dialogues {} stood {} refused {} failed {} left {} declined {} cut {} excused {} launches {} fell {}",
-            v.dialogues,
-            v.stood,
-            v.refused,
-            v.failed,
-            v.left,
-            v.declined,
-            v.cut,
-            v.excused,
-            v.launches,
-            v.fell
-        );
-        for b in v.breaks.iter().take(8) {
-            println!("{b:?}");
+fn main() -> ExitCode {
+    let command = Command::parse();
+    let form = match command.log_format {
+        LogFormat::Text => LogForm::Text,
+        LogFormat::Json => LogForm::Json,
+    };
+    lotussaddle_serve::logging(form);
+    match run(command.what) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) if error.is::<Failed>() => ExitCode::from(1),
+        Err(error) => {
+            eprintln!("lotussaddle: {error:#}");
+            ExitCode::from(2)
         }
-        if std::env::var("LOGS").is_ok() {
-            for l in &played.logs {
-                println!("{l}");
+    }
+}
+
+fn run(what: What) -> Result<()> {
+    match what {
+        What::Demo { seconds, seed, out } => days::demo(seconds, seed, out),
+        What::Serve { sheet, tied, baseline } => {
+            let sheet = EdgeSheet::load(&sheet)?;
+            if tied {
+                end_with_input()?;
+            }
+            match baseline {
+                Some(name) => {
+                    let baseline = days::baseline(&name)?;
+                    lotussaddle_serve::serve_with(sheet, |plan, _| baseline.decisions(plan))
+                }
+                None => lotussaddle_serve::serve(sheet),
             }
         }
+        What::Check { sheet } => match EdgeSheet::load(&sheet) {
+            Ok(found) => {
+                println!("{}: {} products, no mistake", sheet.display(), found.plan.products.len());
+                Ok(())
+            }
+            Err(mistakes) => failed_check(&mistakes),
+        },
+        What::Standin { which, sheet } => match which {
+            Which::Core => lotussaddle_standin::shell::core(&sheet),
+            Which::List => lotussaddle_standin::shell::list(&sheet),
+            Which::Callers => lotussaddle_standin::shell::callers(&sheet),
+        },
+        What::Day { what } => days::run(what),
     }
+}
+
+fn failed_check(mistakes: &Mistakes) -> Result<()> {
+    eprintln!("{mistakes}");
+    Err(Failed.into())
+}
+
+/// Whoever started this process holds the other end of its input; when that goes, so does this.
+fn end_with_input() -> Result<()> {
+    std::thread::Builder::new().name("tied".into()).stack_size(64 * 1024).spawn(|| {
+        let _ = std::io::copy(&mut std::io::stdin().lock(), &mut std::io::sink());
+        std::process::exit(0);
+    })?;
     Ok(())
 }
--- a/crates/day/src/lib.rs
+++ b/crates/day/src/lib.rs
@@ -6,7 +6,7 @@
 
 pub mod baseline;
 pub mod days;
-mod live;
+pub mod live;
 mod plan;
 mod trouble;
 pub mod virt;
--- a/crates/day/src/live.rs
+++ b/crates/day/src/live.rs
@@ -1,1 +1,302 @@
+//! Plays a day over sockets: edge proxies are processes of their own, all their links run through this process,
+//! and its one clock records every frame at their end.
 
+use std::collections::HashMap;
+use std::fs::File;
+use std::io::{BufRead, BufReader, BufWriter, Write};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, Result, bail};
+use crossbeam_channel::{Receiver, Sender, unbounded};
+use lotussaddle_edge::Limits;
+use lotussaddle_judge::{Judge, Verdict, write_line};
+use lotussaddle_links::{Bounds, Gate, Happening, Hub, Token};
+use lotussaddle_serve::EdgeSheet;
+use lotussaddle_trunk::Message;
+use rustix::process::{Pid, Signal, kill_process};
+
+use crate::plan::Day;
+use crate::world::{Ground, Place, World};
+
+/// Real clocks, real threads: an answer may be seen so late, and a cancel too. Other programs share the cores.
+pub const ANSWER_GRACE: Duration = Duration::from_millis(400);
+pub const SLACK: Duration = Duration::from_millis(120);
+/// All must be up by then.
+const UP_WITHIN: Duration = Duration::from_secs(20);
+const ROUND: usize = 512;
+
+/// How edge proxies are started.
+#[derive(Clone, Debug)]
+pub struct Program {
+    pub path: PathBuf,
+    /// Before the path of the sheet.
+    pub arguments: Vec<String>,
+}
+
+/// Sockets and processes.
+struct Site {
+    hub: Hub,
+    /// Gate 0 is the list's, gate n + 1 that of core server n.
+    gates: Vec<Gate>,
+    program: Program,
+    folder: PathBuf,
+    day: Day,
+    seats: Vec<Option<Child>>,
+    addresses: Vec<Option<SocketAddr>>,
+    lives: Vec<u64>,
+    told: Sender<(usize, u64, SocketAddr)>,
+    /// Links that callers began, and have not come up.
+    begun: HashMap<Token, usize>,
+    refused: Vec<usize>,
+    trouble: Option<anyhow::Error>,
+}
+
+impl Site {
+    fn sheet(&self, edge: usize) -> EdgeSheet {
+        EdgeSheet {
+            name: format!("edge-{edge}"),
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            list: self.gates[0].address.to_string(),
+            seed: Some(self.day.seed ^ (edge as u64 + 1) << 32 ^ self.lives[edge] << 48),
+            limits: Limits::default(),
+            plan: self.day.plan.clone(),
+        }
+    }
+
+    fn spawn(&mut self, edge: usize) -> Result<()> {
+        self.lives[edge] += 1;
+        let path = self.folder.join(format!("edge-{edge}.kdl"));
+        std::fs::write(&path, self.sheet(edge).kdl())
+            .with_context(|| format!("cannot write {}", path.display()))?;
+        let log = self.folder.join(format!("edge-{edge}.log"));
+        let log = File::options().create(true).append(true).open(&log)?;
+        let mut child = Command::new(&self.program.path)
+            .args(&self.program.arguments)
+            .arg(&path)
+            // It ends with this process, however that ends.
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .stderr(log)
+            .spawn()
+            .with_context(|| format!("cannot start {}", self.program.path.display()))?;
+        let output = child.stdout.take().context("no standard output")?;
+        let (told, life) = (self.told.clone(), self.lives[edge]);
+        thread::Builder::new().name("edge".into()).stack_size(64 * 1024).spawn(move || {
+            let mut line = String::new();
+            let _ = BufReader::new(output).read_line(&mut line);
+            if let Some(address) = line.trim().strip_prefix("listening ").and_then(|a| a.parse().ok()) {
+                let _ = told.send((edge, life, address));
+            }
+        })?;
+        self.seats[edge] = Some(child);
+        Ok(())
+    }
+
+    fn signal(&self, edge: usize, signal: Signal) {
+        if let Some(pid) = self.seats[edge].as_ref().and_then(|child| Pid::from_raw(child.id() as i32)) {
+            let _ = kill_process(pid, signal);
+        }
+    }
+}
+
+impl Ground for Site {
+    fn say(&mut self, link: u64, message: Message) {
+        // A full queue means an edge proxy that stands still: its link would hold this up to the sender.
+        if !self.hub.say(Token(link), message) {
+            self.hub.reset(Token(link));
+        }
+    }
+
+    fn close(&mut self, link: u64, reset: bool) {
+        if reset { self.hub.reset(Token(link)) } else { self.hub.close(Token(link)) }
+    }
+
+    fn dial_in(&mut self, edge: usize) -> u64 {
+        let Some(address) = self.addresses[edge] else {
+            self.refused.push(edge);
+            return u64::MAX;
+        };
+        let token = self.hub.connect(&address.to_string());
+        self.begun.insert(token, edge);
+        token.0
+    }
+
+    fn open_core(&mut self, core: usize) -> String {
+        // An address of its own, so that its port is nobody else's while it refuses connects.
+        let address = SocketAddr::from(([127, 0, 1 + (core / 200) as u8, 1 + (core % 200) as u8], 0));
+        let gate = Gate::open(&self.hub, core as u32 + 1, address);
+        match gate {
+            Ok(gate) => {
+                let address = gate.address.to_string();
+                self.gates.push(gate);
+                address
+            }
+            Err(error) => {
+                self.trouble.get_or_insert(anyhow::anyhow!("cannot listen at {address}: {error}"));
+                "127.0.0.1:1".into()
+            }
+        }
+    }
+
+    fn shut_core(&mut self, core: usize, shut: bool) {
+        let Some(gate) = self.gates.get_mut(core + 1) else { return };
+        if shut {
+            gate.shut();
+        } else if let Err(error) = gate.reopen(&self.hub) {
+            self.trouble.get_or_insert(anyhow::anyhow!("cannot listen again at {}: {error}", gate.address));
+        }
+    }
+
+    fn drip(&mut self, link: u64, gap: Duration) -> bool {
+        self.hub.drip(Token(link), gap);
+        true
+    }
+
+    fn kill(&mut self, edge: usize) {
+        self.addresses[edge] = None;
+        if let Some(mut child) = self.seats[edge].take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    fn start(&mut self, edge: usize) {
+        if let Err(error) = self.spawn(edge) {
+            self.trouble.get_or_insert(error);
+        }
+    }
+
+    fn stall(&mut self, edge: usize, still: bool) {
+        self.signal(edge, if still { Signal::STOP } else { Signal::CONT });
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        for edge in 0..self.seats.len() {
+            self.kill(edge);
+        }
+    }
+}
+
+/// Plays a day; `folder` takes record.jsonl, verdict.json, the sheets and the logs of the edge proxies.
+pub fn play(day: &Day, program: &Program, folder: &Path) -> Result<Verdict> {
+    std::fs::create_dir_all(folder).with_context(|| format!("cannot make {}", folder.display()))?;
+    let (hub, happenings) = Hub::new(Bounds::default())?;
+    let list =
+        Gate::open(&hub, 0, SocketAddr::from(([127, 0, 0, 1], 0))).context("cannot listen for the list")?;
+    let (told, addresses) = unbounded();
+    let mut site = Site {
+        hub,
+        gates: vec![list],
+        program: program.clone(),
+        folder: folder.into(),
+        day: day.clone(),
+        seats: (0..day.edges).map(|_| None).collect(),
+        addresses: vec![None; day.edges],
+        lives: vec![0; day.edges],
+        told,
+        begun: HashMap::new(),
+        refused: Vec::new(),
+        trouble: None,
+    };
+    let mut world = World::new(day.clone(), &mut site);
+    for edge in 0..day.edges {
+        site.spawn(edge)?;
+    }
+    let mut brief = day.brief(ANSWER_GRACE, SLACK);
+    let lines = run(day, &mut world, &mut site, &happenings, &addresses)?;
+    brief.capacities = world.capacities();
+
+    let record = folder.join("record.jsonl");
+    let mut out =
+        BufWriter::new(File::create(&record).with_context(|| format!("cannot write {}", record.display()))?);
+    write_line(&mut out, &brief)?;
+    let mut judge = Judge::new(brief);
+    for line in &lines {
+        write_line(&mut out, line)?;
+        judge.line(line);
+    }
+    out.flush()?;
+    let verdict = judge.finish();
+    std::fs::write(folder.join("verdict.json"), serde_json::to_string_pretty(&verdict)?)?;
+    Ok(verdict)
+}
+
+fn run(
+    day: &Day, world: &mut World, site: &mut Site, happenings: &Receiver<Happening>,
+    addresses: &Receiver<(usize, u64, SocketAddr)>,
+) -> Result<Vec<lotussaddle_judge::Line>> {
+    let start = Instant::now();
+    let mut lines = Vec::new();
+    let mut begun = false;
+    while !world.is_over() {
+        if let Some(trouble) = site.trouble.take() {
+            return Err(trouble);
+        }
+        while let Ok((edge, life, address)) = addresses.try_recv() {
+            if life == site.lives[edge] && site.seats[edge].is_some() {
+                site.addresses[edge] = Some(address);
+            }
+        }
+        for edge in std::mem::take(&mut site.refused) {
+            world.refused(start.elapsed(), edge);
+        }
+        let now = start.elapsed();
+        if !begun {
+            let links = day.edges * (day.cores.count + 2);
+            if world.callers_linked() == day.edges && world.links_up() >= links {
+                begun = true;
+                world.begin(now);
+            } else if now > UP_WITHIN {
+                bail!(
+                    "not all edge proxies were up within {UP_WITHIN:?}; see their logs in {}",
+                    site.folder.display()
+                );
+            }
+        }
+        let wait = world.next_due().saturating_sub(now).min(Duration::from_millis(20));
+        let mut next = happenings.recv_timeout(wait).ok();
+        for _ in 0..ROUND {
+            let Some(happening) = next else { break };
+            take(world, site, start.elapsed(), happening);
+            next = happenings.try_recv().ok();
+        }
+        if let Some(happening) = next {
+            take(world, site, start.elapsed(), happening);
+        }
+        let now = start.elapsed();
+        if world.next_due() <= now {
+            world.alarm(now, site);
+        }
+        lines.append(&mut world.take_lines());
+    }
+    Ok(lines)
+}
+
+fn take(world: &mut World, site: &mut Site, now: Duration, happening: Happening) {
+    match happening {
+        Happening::Came(token, gate, opened) => {
+            site.hub.admit(token, opened);
+            let place = if gate == 0 { Place::List } else { Place::Core(gate as usize - 1) };
+            world.came(now, token.0, place, site);
+        }
+        Happening::Up(token) => {
+            if let Some(edge) = site.begun.remove(&token) {
+                world.up(now, token.0, edge, site);
+            }
+        }
+        Happening::Said(token, message) => world.said(now, token.0, message),
+        Happening::Lost(token, _) => {
+            site.hub.close(token);
+            match site.begun.remove(&token) {
+                Some(edge) => world.refused(now, edge),
+                None => world.lost(now, token.0),
+            }
+        }
+    }
+}
--- a/crates/links/src/hub.rs
+++ b/crates/links/src/hub.rs
@@ -58,6 +58,8 @@
     to: Sender<Message>,
     stream: Option<Arc<TcpStream>>,
     gone: Arc<AtomicBool>,
+    /// It is to end in a reset, not in order.
+    abrupt: Arc<AtomicBool>,
     drip: Arc<AtomicU64>,
 }
 
@@ -151,8 +153,10 @@
         if let Some(open) = self.open.remove(&token) {
             open.gone.store(true, Ordering::Relaxed);
             if let Some(stream) = &open.stream {
+                // With no time to linger, the last one to let go of the socket resets the connection.
+                open.abrupt.store(true, Ordering::Relaxed);
                 let _ = socket2::SockRef::from(&**stream).set_linger(Some(Duration::ZERO));
-                let _ = stream.shutdown(Shutdown::Both);
+                let _ = stream.shutdown(Shutdown::Read);
             }
         }
     }
@@ -178,11 +182,13 @@
 impl Maker {
     fn link(&self, token: Token) -> (Ends, Opened, Receiver<Message>) {
         let (to, messages) = bounded(self.bounds.queue);
-        let opened = Opened { to, stream: None, gone: Arc::default(), drip: Arc::default() };
+        let opened =
+            Opened { to, stream: None, gone: Arc::default(), abrupt: Arc::default(), drip: Arc::default() };
         let ends = Ends {
             token,
             inbox: self.inbox.clone(),
             gone: opened.gone.clone(),
+            abrupt: opened.abrupt.clone(),
             drip: opened.drip.clone(),
             write_within: self.bounds.write_within,
         };
@@ -211,6 +217,7 @@
     token: Token,
     inbox: Sender<Happening>,
     gone: Arc<AtomicBool>,
+    abrupt: Arc<AtomicBool>,
     drip: Arc<AtomicU64>,
     write_within: Duration,
 }
@@ -250,7 +257,9 @@
             if let Err(error) = writer.write(&write, &messages) {
                 writer.lost(error.to_string());
             }
-            let _ = write.shutdown(Shutdown::Both);
+            if !writer.abrupt.load(Ordering::Relaxed) {
+                let _ = write.shutdown(Shutdown::Both);
+            }
         })?;
         thread::Builder::new().name("reader".into()).stack_size(STACK).spawn(move || {
             let why = self.read(&read);
--- a/crates/serve/src/logs.rs
+++ b/crates/serve/src/logs.rs
@@ -18,7 +18,9 @@
 /// Sets up the log of this process, on standard error.
 pub fn logging(form: LogForm) {
     let filter = EnvFilter::try_from_env("LOTUSSADDLE_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
-    let log = tracing_subscriber::fmt().with_writer(std::io::stderr).with_env_filter(filter);
+    let terminal = std::io::IsTerminal::is_terminal(&std::io::stderr());
+    let log =
+        tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(terminal).with_env_filter(filter);
     let begun = match form {
         LogForm::Text => log.with_target(false).try_init(),
         LogForm::Json => log.json().with_target(false).try_init(),
--- a/crates/standin/src/core.rs
+++ b/crates/standin/src/core.rs
@@ -432,6 +432,8 @@
     fn go_on(&mut self, now: Duration) {
         while self.at_work.is_none() && self.up && !self.strain.hung {
             let Some(job) = self.first.pop_front().or_else(|| self.queue.pop_front()) else { return };
+            // Where the clock is read late, work that came meanwhile did not begin before it came.
+            let now = now.max(job.came);
             let mut cost = self.figures.cost(&job.work);
             self.waiting = self.waiting.saturating_sub(cost);
             if let Work::SetUp(id) = &job.work {
