--- a/crates/cli/src/days.rs
+++ b/crates/cli/src/days.rs
@@ -10,7 +10,6 @@
 use lotussaddle_day::baseline::Baseline;
 use lotussaddle_day::live::Program;
 use lotussaddle_day::{Day, days, live, virt};
-use lotussaddle_edge::Limits;
 use lotussaddle_judge::{Judge, Verdict, read_record, write_line};
 
 use crate::{Failed, report};
@@ -96,7 +95,9 @@
     let baseline = name.map(baseline).transpose()?;
     let verdict = if virtually {
         let played = match baseline {
-            Some(baseline) => virt::play_with(day, &Limits::default(), |plan, _| baseline.decisions(plan))?,
+            Some(baseline) => {
+                virt::play_with(day, &virt::Play::default(), |plan, _| baseline.decisions(plan))?
+            }
             None => virt::play(day)?,
         };
         if let Some(folder) = &out {
--- /dev/null
+++ b/crates/cli/tests/command.rs
@@ -0,0 +1,294 @@
+//! The command as it is run: days over real sockets, and what is said of wrong input.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
+use std::path::Path;
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+use lotussaddle_judge::Verdict;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_lotussaddle");
+
+fn run(arguments: &[&str]) -> Output {
+    Command::new(PROGRAM).args(arguments).output().expect("it runs")
+}
+
+fn said(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned() + &String::from_utf8_lossy(&output.stderr)
+}
+
+fn path(folder: &Path, name: &str) -> String {
+    folder.join(name).display().to_string()
+}
+
+/// A surge, a slow and a dying core server, late reports, and an edge proxy killed and restarted, over each other.
+#[test]
+fn a_short_bad_day_over_sockets_keeps_the_rules_and_its_record_says_so_again() {
+    let folder = tempfile::tempdir().unwrap();
+    let out = path(folder.path(), "out");
+    let played = run(&["demo", "--seconds", "10", "--out", &out]);
+    assert_eq!(played.status.code(), Some(0), "{}", said(&played));
+    let verdict = std::fs::read_to_string(folder.path().join("out/verdict.json")).unwrap();
+    let verdict: Verdict = serde_json::from_str(&verdict).unwrap();
+    assert_eq!(verdict.broken, [0; 5]);
+    assert!(verdict.stood > 500 && verdict.excused > 0, "an edge proxy was killed at work: {verdict:?}");
+
+    let judged = run(&["day", "judge", &out]);
+    assert_eq!(judged.status.code(), Some(0));
+    let told = String::from_utf8_lossy(&played.stdout).into_owned();
+    assert!(
+        told.ends_with(&*String::from_utf8_lossy(&judged.stdout)),
+        "the record alone gives the same verdict"
+    );
+
+    // One answer more in the record, and the verdict is another one.
+    let record = std::fs::read_to_string(folder.path().join("out/record.jsonl")).unwrap();
+    let doctored: String = record
+        .lines()
+        .flat_map(|line| if line.contains("\"refused\"") { vec![line, line] } else { vec![line] })
+        .map(|line| format!("{line}\n"))
+        .collect();
+    std::fs::write(folder.path().join("out/record.jsonl"), doctored).unwrap();
+    let judged = run(&["day", "judge", &out]);
+    assert_eq!(judged.status.code(), Some(1));
+    assert!(said(&judged).contains("a second final answer"));
+}
+
+/// Hangs, stalls, refused connects, dead and trickling links, drains and resets.
+#[test]
+fn a_day_of_other_troubles_over_sockets_keeps_the_rules() {
+    let folder = tempfile::tempdir().unwrap();
+    let quiet = include_str!("../../day/days/quiet.kdl");
+    let troubles = r#"troubles {
+        hang { at "1s"; lasts "2s"; part 0.25; }
+        stall { at "1s"; lasts "4s"; part 0.3; each "600ms"; every "1s"; }
+        refuse { at "2s"; lasts "2s"; part 0.25; }
+        half-open { at "2500ms"; lasts "3s"; part 0.25; }
+        trickle { at "1s"; lasts "3s"; part 0.25; gap "2ms"; }
+        answers-lost { at "3s"; lasts "3s"; part 0.5; share 0.2; by-reset #true; }
+        replace { at "3s"; lasts "2s"; part 0.5; batch 1; drains "1s"; }
+    }"#;
+    let day = quiet.replace("lasts \"20s\"", "lasts \"7s\"").replace("troubles {\n}", troubles);
+    let sheet = path(folder.path(), "day.kdl");
+    std::fs::write(&sheet, day).unwrap();
+    let played = run(&["day", "play", &sheet]);
+    assert_eq!(played.status.code(), Some(0), "{}", said(&played));
+}
+
+#[test]
+fn the_same_seed_in_virtual_time_gives_the_same_record_to_the_byte() {
+    let folder = tempfile::tempdir().unwrap();
+    let record = |name: &str, seed: &str| {
+        let out = path(folder.path(), name);
+        let played = run(&["day", "play", "rolling", "--virtual", "--seed", seed, "--out", &out]);
+        assert_eq!(played.status.code(), Some(0), "{}", said(&played));
+        std::fs::read(folder.path().join(name).join("record.jsonl")).unwrap()
+    };
+    let one = record("one", "5");
+    assert!(one == record("two", "5") && one != record("three", "6"));
+}
+
+#[test]
+fn wrong_input_is_told_with_its_place_and_exits_with_2() {
+    let folder = tempfile::tempdir().unwrap();
+    let sheet = path(folder.path(), "edge.kdl");
+    std::fs::write(&sheet, "name \"e\"\nlisten \"10.0.0.1:5\"\nplan {\n  proxies 0\n}\n").unwrap();
+    for (arguments, code) in [(["check", &sheet], 1), (["serve", &sheet], 2)] {
+        let output = run(&arguments);
+        let said = said(&output);
+        assert_eq!(output.status.code(), Some(code), "{said}");
+        for wanted in [
+            "edge.kdl:1:1: list is missing",
+            "edge.kdl:2:1: listen wants a loopback address, not 10.0.0.1:5",
+            "edge.kdl:3:1: product is missing: a plan needs one at least",
+            "edge.kdl:4:11: proxies wants a whole number from 1 to 100000",
+        ] {
+            assert!(said.contains(wanted), "{wanted} in {said}");
+        }
+    }
+    let missing = path(folder.path(), "none.kdl");
+    for arguments in [
+        &["serve", &missing][..],
+        &["day", "play", &missing],
+        &["day", "judge", &missing],
+        &["day", "play", "quiet", "--baseline", "none"],
+        &["frobnicate"],
+        &["demo", "--seconds", "0"],
+    ] {
+        let output = run(arguments);
+        assert_eq!(output.status.code(), Some(2), "{arguments:?}: {}", said(&output));
+        assert!(!output.stderr.is_empty());
+    }
+}
+
+/// An edge proxy of its own, ended with the test.
+struct Served {
+    child: Child,
+    address: String,
+    errors: std::thread::JoinHandle<String>,
+}
+
+fn serve(more: &str) -> Served {
+    let folder = tempfile::tempdir().unwrap();
+    let sheet = path(folder.path(), "edge.kdl");
+    let plan = "plan { proxies 1; release \"300ms\"; cold-share 0.4; warm-after \"5s\"; fall-multiple 2.0; \
+                product \"p\" { promised \"1s\"; lasts \"2s\"; cut-off \"5s\"; }; }";
+    std::fs::write(
+        &sheet,
+        format!("name \"edge-0\"\nlisten \"127.0.0.1:0\"\nlist \"127.0.0.1:1\"\n{more}\n{plan}\n"),
+    )
+    .unwrap();
+    let mut child = Command::new(PROGRAM)
+        .args(["serve", "--tied", &sheet])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut line = String::new();
+    BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+    let address = line.trim().strip_prefix("listening ").expect("it says where it listens").to_string();
+    let mut errors = child.stderr.take().unwrap();
+    let errors = std::thread::spawn(move || {
+        let mut all = String::new();
+        let _ = errors.read_to_string(&mut all);
+        all
+    });
+    Served { child, address, errors }
+}
+
+impl Served {
+    /// Ends it; gives its log.
+    fn end(mut self) -> String {
+        drop(self.child.stdin.take());
+        let deadline = Instant::now() + Duration::from_secs(20);
+        while self.child.try_wait().unwrap().is_none() {
+            assert!(Instant::now() < deadline, "it does not end with its input");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        self.errors.join().unwrap()
+    }
+
+    fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(&self.address).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+        stream
+    }
+}
+
+fn bytes(frame: lotussaddle_trunk::Frame) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    lotussaddle_trunk::Message::from(frame).encode(&mut bytes);
+    bytes
+}
+
+fn hello() -> Vec<u8> {
+    use lotussaddle_trunk::{Frame, Hello, Role, VERSION};
+    bytes(Frame::Hello(Hello { version: VERSION, role: Role::Caller, name: "test".into() }))
+}
+
+/// Reads until the other side closes.
+fn rest(mut stream: &TcpStream) -> Vec<u8> {
+    let (mut all, mut chunk) = (Vec::new(), [0; 4096]);
+    loop {
+        match stream.read(&mut chunk) {
+            Ok(0) | Err(_) => return all,
+            Ok(n) => all.extend_from_slice(&chunk[..n]),
+        }
+    }
+}
+
+/// A link that works all the while: is a dial answered?
+fn answered(stream: &mut TcpStream, name: &str) -> Duration {
+    use lotussaddle_trunk::{Decoder, Dial, Frame};
+    let dial = Frame::Dial(Dial {
+        dialogue: lotussaddle::interface::DialogueId(name.into()),
+        key: None,
+        product: 0,
+        tenant: None,
+        first_choice: lotussaddle::interface::ServerNumber(0),
+        width: 1.0,
+        time_left: Duration::from_millis(200),
+        again: false,
+        came_back: false,
+        sent_at: None,
+        try_of: None,
+    });
+    let begun = Instant::now();
+    stream.write_all(&bytes(dial)).unwrap();
+    let (mut decoder, mut chunk) = (Decoder::default(), [0; 4096]);
+    loop {
+        let read = stream.read(&mut chunk).expect("an answer comes");
+        assert!(read > 0, "the link was closed");
+        decoder.take(&chunk[..read]);
+        while let Some(message) = decoder.frame() {
+            // Nothing is listed: it waits, and is let go in time.
+            if matches!(message.unwrap().frame, Frame::Failed { .. } | Frame::Refused { .. }) {
+                return begun.elapsed();
+            }
+        }
+    }
+}
+
+#[test]
+fn garbage_wrong_versions_and_oversized_frames_end_their_own_link_only() {
+    use lotussaddle_trunk::{Frame, Hello, Role};
+    let served = serve("");
+    let mut good = served.connect();
+    good.write_all(&hello()).unwrap();
+    answered(&mut good, "before");
+    let old = bytes(Frame::Hello(Hello { version: 77, role: Role::Caller, name: "old".into() }));
+    let mut truncated = hello();
+    truncated.truncate(truncated.len() - 3);
+    let cases: [(&str, Vec<u8>); 6] = [
+        ("garbage", b"GET / HTTP/1.1\r\n\r\n".to_vec()),
+        ("oversized", vec![0x7f, 0xff, 0xff, 0xff, 1]),
+        ("empty", vec![0, 0, 0, 0]),
+        ("wrong version", old),
+        ("after hello", [hello(), vec![0, 0, 0, 1, 250]].concat()),
+        ("truncated", truncated),
+    ];
+    for (name, case) in cases {
+        let mut stream = served.connect();
+        stream.write_all(&case).unwrap();
+        if name == "truncated" {
+            stream.shutdown(std::net::Shutdown::Write).unwrap();
+        }
+        rest(&stream);
+        answered(&mut good, name);
+    }
+    let log = served.end();
+    for wanted in [
+        "unreadable: a frame of 1195725856 bytes, over the 65536 allowed",
+        "unreadable: a frame of 2147483647 bytes",
+        "unreadable: an empty frame",
+        "speaks version 77, not 1",
+        "unreadable: frame kind 250 is not known",
+        "closed in the middle of a frame",
+    ] {
+        assert!(log.contains(wanted), "{wanted} in {log}");
+    }
+}
+
+#[test]
+fn a_flood_of_links_that_say_nothing_leaves_others_their_answers() {
+    let served = serve("limits { fresh 64; }");
+    let mut good = served.connect();
+    good.write_all(&hello()).unwrap();
+    answered(&mut good, "before");
+    // As many at once as the test's own descriptors allow; five thousand in all.
+    let mut silent = std::collections::VecDeque::new();
+    for n in 0..5000 {
+        silent.push_back(TcpStream::connect(&served.address).unwrap());
+        if silent.len() > 300 {
+            silent.pop_front();
+        }
+        if n % 1000 == 999 {
+            let took = answered(&mut good, &format!("during-{n}"));
+            assert!(took < Duration::from_secs(5), "an answer due in 0.2 s took {took:?}");
+        }
+    }
+    let log = served.end();
+    assert!(log.contains("too many links that say no hello"), "{log}");
+}
--- a/crates/day/src/world.rs
+++ b/crates/day/src/world.rs
@@ -291,7 +291,8 @@
     /// A link's end at the edge proxy is gone.
     pub fn lost(&mut self, now: Duration, link: u64) {
         self.now = now;
-        let Some(pipe) = self.pipes.get(&link) else { return };
+        let Some(pipe) = self.pipes.get_mut(&link) else { return };
+        pipe.dead = true; // What is on its way to the edge proxy gets nowhere.
         if let Some(edge) = pipe.edge {
             self.note(What::Gone { edge, link });
         }
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -125,6 +125,8 @@
 
     pub fn heard(&mut self, now: Duration, link: LinkId, message: Message, wires: &mut dyn Wires) {
         self.state.now = now;
+        // After a stall, what timed out meanwhile has timed out, though its answer lies in the queue.
+        self.time_outs(wires);
         let Some(known) = self.state.links.get_mut(&link) else { return };
         (known.heard, known.asked) = (now, false);
         match (&known.kind, known.greeted, message.frame) {
@@ -154,9 +156,7 @@
     /// The time given by `next_due` has come.
     pub fn alarm(&mut self, now: Duration, wires: &mut dyn Wires) {
         self.state.now = now;
-        while let Some((id, launch)) = self.state.dues.pop(now) {
-            self.timed_out(&id, launch, wires);
-        }
+        self.time_outs(wires);
         if self.state.alarm.is_some_and(|at| at <= now) {
             self.state.alarm = None;
             let mut hands = Hands { state: &mut self.state, wires };
@@ -252,6 +252,9 @@
             return self.hands(wires).say(link, Frame::Declined { dialogue: id, why });
         }
         self.state.counts.taken += 1;
+        let now = self.state.now;
+        let known = self.state.links.get_mut(&link).zip(dial.sent_at);
+        let delay = known.map_or(Duration::ZERO, |(known, sent_at)| known.delay.of(now, sent_at));
         let held = Held {
             link,
             at: At::Waiting,
@@ -272,7 +275,8 @@
             tenant: dial.tenant.map(|t| TenantId(t.into())),
             first_choice: dial.first_choice,
             width: dial.width,
-            cut_off: self.state.now + dial.time_left,
+            // A dial that was long on its way has lost that time; one that lost all of it is answered at once.
+            cut_off: now + dial.time_left.saturating_sub(delay),
             again: dial.again,
             came_back: dial.came_back,
         };
@@ -338,6 +342,13 @@
         }
     }
 
+    fn time_outs(&mut self, wires: &mut dyn Wires) {
+        while let Some((id, launch)) = self.state.dues.pop(self.state.now) {
+            self.timed_out(&id, launch, wires);
+            self.hand_over_ends(wires);
+        }
+    }
+
     fn timed_out(&mut self, id: &DialogueId, launch: LaunchNo, wires: &mut dyn Wires) {
         let Some(held) = self.state.held.get(id) else { return };
         match held.at.clone() {
--- a/crates/edge/src/hands.rs
+++ b/crates/edge/src/hands.rs
@@ -149,6 +149,11 @@
     fn launch(&mut self, dialogue: &DialogueId, server: &ServerId, time_out: Duration) {
         let until = self.state.now + time_out;
         let Some(held) = self.state.held.get_mut(dialogue) else { return };
+        // Rule 2 is the module's to keep; whoever decides otherwise is not helped to break it.
+        if held.at != At::Waiting {
+            let line = format!("a launch of {} is not sent: it is {:?}", dialogue.0, held.at);
+            return self.wires.log(Note::Mode, &line);
+        }
         let launch = LaunchNo(held.launches);
         held.launches += 1;
         held.at = At::Out { server: server.clone(), launch, until, link: None };
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -24,13 +24,45 @@
     pub since: Duration,
     pub heard: Duration,
     pub asked: bool,
+    pub delay: Delay,
     /// Dialogues that came or went over it and are still held.
     pub here: BTreeSet<DialogueId>,
 }
 
 impl Link {
     pub fn new(kind: Kind, now: Duration) -> Self {
-        Self { kind, greeted: false, since: now, heard: now, asked: false, here: BTreeSet::new() }
+        Self {
+            kind,
+            greeted: false,
+            since: now,
+            heard: now,
+            asked: false,
+            delay: Delay::default(),
+            here: BTreeSet::new(),
+        }
+    }
+}
+
+/// How much longer than the quickest a message of a link was on its way, by the sender's clock and this one. A
+/// reader that stood still, a link that trickles and a peer that could not write show alike.
+#[derive(Default)]
+pub struct Delay {
+    /// This clock less the sender's, at the quickest message, in microseconds; and when that was last seen to.
+    quickest: Option<(i64, Duration)>,
+}
+
+impl Delay {
+    /// Clocks drift apart by less than this, in parts of a million.
+    const DRIFT: u64 = 500;
+
+    pub fn of(&mut self, now: Duration, sent_at: Duration) -> Duration {
+        let apart = now.as_micros() as i64 - sent_at.as_micros() as i64;
+        let quickest = self.quickest.map_or(apart, |(quickest, since)| {
+            let drift = (now.saturating_sub(since).as_micros() as u64 * Self::DRIFT / 1_000_000) as i64;
+            apart.min(quickest + drift)
+        });
+        self.quickest = Some((quickest, now));
+        Duration::from_micros((apart - quickest) as u64)
     }
 }
 
--- /dev/null
+++ b/crates/edge/tests/hard_cases.rs
@@ -0,0 +1,487 @@
+//! Hard cases of one edge proxy, each a script of inputs and the trace of what it says. Times in milliseconds.
+
+use std::collections::BTreeSet;
+use std::fmt::Write;
+use std::sync::Arc;
+use std::time::Duration;
+
+use insta::assert_snapshot;
+use lotussaddle::interface::*;
+use lotussaddle_edge::{Edge, Limits, LinkId, Note, Wires};
+use lotussaddle_trunk::*;
+
+fn ms(time: u64) -> Duration {
+    Duration::from_millis(time)
+}
+
+fn id(name: &str) -> DialogueId {
+    DialogueId(Arc::from(name))
+}
+
+#[derive(Default)]
+struct Trace {
+    text: String,
+    now: u64,
+    links: u64,
+    /// Links begun from here, by address, newest last.
+    begun: Vec<(LinkId, String)>,
+    closed: BTreeSet<LinkId>,
+    full: BTreeSet<LinkId>,
+    /// Only dialogues are traced.
+    said: u64,
+    quiet: bool,
+}
+
+impl Trace {
+    fn put(&mut self, line: String) {
+        if !self.quiet {
+            let _ = writeln!(self.text, "{:>6} {line}", self.now);
+        }
+    }
+}
+
+impl Wires for Trace {
+    fn say(&mut self, link: LinkId, message: Message) -> bool {
+        if self.closed.contains(&link) || self.full.contains(&link) {
+            return false;
+        }
+        self.said += 1;
+        let extra = if message.extra.is_empty() { String::new() } else { format!(" {:?}", message.extra) };
+        let line = match &message.frame {
+            Frame::Hello(_) => return true,
+            Frame::Launch(l) => format!("launch {} no {} for {:?}", l.dialogue.0, l.launch.0, l.time_left),
+            Frame::Cancel { dialogue, launch } => format!("cancel {} no {}", dialogue.0, launch.0),
+            Frame::Release { dialogue, launch } => format!("release {} no {}", dialogue.0, launch.0),
+            Frame::Stands { dialogue, server } => format!("{} stands at {}", dialogue.0, server.0),
+            Frame::Refused { dialogue, .. } => format!("{} refused", dialogue.0),
+            Frame::Failed { dialogue } => format!("{} failed", dialogue.0),
+            Frame::Declined { dialogue, why } => format!("{} declined: {why:?}", dialogue.0),
+            Frame::Over { dialogue, end } => format!("{} over: {end:?}", dialogue.0),
+            other => format!("{other:?}"),
+        };
+        self.put(format!("to {}: {line}{extra}", link.0));
+        true
+    }
+
+    fn connect(&mut self, address: &str) -> LinkId {
+        self.links += 1;
+        let link = LinkId(self.links);
+        self.begun.push((link, address.into()));
+        self.put(format!("connect to {address}: {}", link.0));
+        link
+    }
+
+    fn close(&mut self, link: LinkId, why: &str) {
+        self.closed.insert(link);
+        self.put(format!("close {}: {why}", link.0));
+    }
+
+    fn log(&mut self, note: Note, line: &str) {
+        if note == Note::Mode {
+            self.put(format!("log: {line}"));
+        }
+    }
+}
+
+struct Bench {
+    edge: Edge,
+    trace: Trace,
+}
+
+fn plan() -> RoutePlan {
+    RoutePlan {
+        proxies: 4,
+        products: vec![Product {
+            promised: ms(1500),
+            lasts: ms(8000),
+            patience: ms(9000),
+            gain: 1.0,
+            late_share: 0.25,
+            servers: None,
+        }],
+        tenants: vec![],
+        over_quota_share: 0.2,
+        tick: ms(5),
+        release: ms(300),
+        resend: Duration::ZERO,
+        max_launches: 4,
+        marks_again: true,
+        may_cancel: true,
+        longest_return: ms(2000),
+        cold_share: 0.4,
+        warm_after: ms(10_000),
+        fall_multiple: 2.5,
+    }
+}
+
+fn hello(role: Role, name: &str) -> Frame {
+    Frame::Hello(Hello { version: VERSION, role, name: Arc::from(name) })
+}
+
+fn entry(name: &str, address: &str, listed: Listed, life: u64) -> Entry {
+    let number = ServerNumber(i64::from(name.as_bytes()[0] - b'a'));
+    let age = if life > 0 { ms(50) } else { Duration::ZERO };
+    Entry { server: ServerId(Arc::from(name)), number, address: Arc::from(address), listed, life, age }
+}
+
+fn dial(name: &str, first_choice: i64, time_left: u64) -> Dial {
+    Dial {
+        dialogue: id(name),
+        key: Some(DialledKey(Arc::from(name))),
+        product: 0,
+        tenant: None,
+        first_choice: ServerNumber(first_choice),
+        width: 1.0,
+        time_left: ms(time_left),
+        again: false,
+        came_back: false,
+        sent_at: None,
+        try_of: None,
+    }
+}
+
+impl Bench {
+    fn bare(limits: Limits) -> Self {
+        Self { edge: Edge::new("edge-0", "list", plan(), 7, limits), trace: Trace::default() }
+    }
+
+    /// With a caller on link 100 and the named servers up and listed.
+    fn new(servers: &str) -> Self {
+        let mut bench = Self::bare(Limits::default());
+        bench.trace.quiet = true;
+        bench.at(0);
+        bench.list_up(servers);
+        bench.caller(100, "gateway");
+        bench.at(10);
+        bench.trace.quiet = false;
+        bench
+    }
+
+    fn list_up(&mut self, servers: &str) -> &mut Self {
+        let list = self.link_to("list");
+        self.edge.connected(ms(self.trace.now), list, &mut self.trace);
+        self.hears(list, hello(Role::List, "list"));
+        let entries = servers.chars().map(|c| c.to_string());
+        let entries = entries.map(|name| entry(&name, &name, Listed::Active, 0)).collect();
+        self.hears(list, Frame::List { whole: true, entries });
+        for name in servers.chars() {
+            self.core_up(&name.to_string());
+        }
+        self
+    }
+
+    fn core_up(&mut self, name: &str) -> &mut Self {
+        let link = self.link_to(name);
+        self.edge.connected(ms(self.trace.now), link, &mut self.trace);
+        self.hears(link, hello(Role::Core, name))
+    }
+
+    fn link_to(&self, address: &str) -> LinkId {
+        self.trace.begun.iter().rev().find(|(_, known)| known == address).expect("it was begun").0
+    }
+
+    fn caller(&mut self, link: u64, name: &str) -> &mut Self {
+        self.edge.linked(ms(self.trace.now), LinkId(link), &mut self.trace);
+        self.hears(LinkId(link), hello(Role::Caller, name))
+    }
+
+    /// Lets time pass, with every alarm at its time.
+    fn at(&mut self, time: u64) -> &mut Self {
+        while self.edge.next_due() <= ms(time) {
+            let due = self.edge.next_due().max(ms(self.trace.now));
+            self.trace.now = due.as_millis() as u64;
+            self.edge.alarm(due, &mut self.trace);
+        }
+        self.trace.now = time;
+        self
+    }
+
+    /// The decision thread stands still until then.
+    fn stalls_until(&mut self, time: u64) -> &mut Self {
+        self.trace.now = time;
+        self
+    }
+
+    fn hears(&mut self, link: LinkId, frame: Frame) -> &mut Self {
+        self.edge.heard(ms(self.trace.now), link, frame.into(), &mut self.trace);
+        self
+    }
+
+    fn dials(&mut self, link: u64, name: &str, first_choice: i64) -> &mut Self {
+        self.hears(LinkId(link), Frame::Dial(dial(name, first_choice, 3000)))
+    }
+
+    fn hangs_up(&mut self, link: u64, name: &str) -> &mut Self {
+        self.hears(LinkId(link), Frame::HangUp { dialogue: id(name) })
+    }
+
+    fn core_says(&mut self, server: &str, frame: Frame) -> &mut Self {
+        let link = self.link_to(server);
+        self.hears(link, frame)
+    }
+
+    fn stood(&mut self, server: &str, name: &str, launch: u32) -> &mut Self {
+        let report = LoadReport::default();
+        self.core_says(server, Frame::Stood { dialogue: id(name), launch: LaunchNo(launch), report })
+    }
+
+    fn ended(&mut self, server: &str, name: &str, launch: u32, end: End) -> &mut Self {
+        let report = LoadReport::default();
+        self.core_says(server, Frame::Ended { dialogue: id(name), launch: LaunchNo(launch), end, report })
+    }
+
+    fn loses(&mut self, link: LinkId) -> &mut Self {
+        self.edge.lost(ms(self.trace.now), link, "closed by its peer", &mut self.trace);
+        self
+    }
+
+    fn lists(&mut self, whole: bool, entries: Vec<Entry>) -> &mut Self {
+        let list = self.link_to("list");
+        self.hears(list, Frame::List { whole, entries })
+    }
+
+    fn trace(&self) -> &str {
+        &self.trace.text
+    }
+}
+
+#[test]
+fn a_dialogue_from_dial_to_release() {
+    let mut b = Bench::new("ab");
+    b.dials(100, "d1", 1).at(40).stood("b", "d1", 0).at(900).hangs_up(100, "d1").at(910);
+    b.ended("b", "d1", 0, End::Released).at(1500);
+    assert_snapshot!(b.trace());
+    assert_eq!(b.edge.sizes().0, 0, "nothing is held of it");
+}
+
+#[test]
+fn the_answer_crosses_the_cancel() {
+    let mut b = Bench::new("ab");
+    // The launch at a is called off as lost; its answer is on its way already.
+    b.dials(100, "d1", 0).at(20).dials(100, "d2", 0).at(60).stood("a", "d2", 0).at(800);
+    b.stood("a", "d1", 0).at(1110);
+    assert_snapshot!(b.trace());
+}
+
+#[test]
+fn a_caller_hangs_up_while_its_launch_is_out() {
+    let mut b = Bench::new("a");
+    b.dials(100, "d1", 0).at(30).hangs_up(100, "d1").at(35).stood("a", "d1", 0).at(40);
+    b.ended("a", "d1", 0, End::Released).at(2000);
+    assert_snapshot!(b.trace());
+    assert_eq!(b.edge.sizes().0, 0);
+}
+
+#[test]
+fn a_caller_hangs_up_while_its_answer_is_written() {
+    let mut b = Bench::new("a");
+    b.dials(100, "d1", 0).at(30).stood("a", "d1", 0).hangs_up(100, "d1").hangs_up(100, "d1").at(40);
+    // The server never tells that it is over: that is not awaited for ever.
+    b.at(6000);
+    assert_snapshot!(b.trace());
+    assert_eq!(b.edge.sizes().0, 0);
+}
+
+#[test]
+fn a_link_dies_between_launch_and_answer() {
+    let mut b = Bench::new("ab");
+    let a = b.link_to("a");
+    b.dials(100, "d1", 0).at(30).loses(a).at(320).at(331).stood("b", "d1", 1).at(400);
+    assert_snapshot!(b.trace());
+}
+
+#[test]
+fn standing_dialogues_are_cut_with_their_link_and_their_callers_told() {
+    let mut b = Bench::new("ab");
+    let a = b.link_to("a");
+    b.dials(100, "d1", 0).dials(100, "d2", 0).at(30).stood("a", "d1", 0).at(50).loses(a).at(60);
+    assert_snapshot!(b.trace());
+}
+
+#[test]
+fn an_id_dialled_twice_on_one_link_is_one_dialogue() {
+    let mut b = Bench::new("a");
+    b.dials(100, "d1", 0).at(20).dials(100, "d1", 0).at(30).stood("a", "d1", 0).at(40).dials(100, "d1", 0);
+    b.at(50).hangs_up(100, "d1").ended("a", "d1", 0, End::Released).at(60).dials(100, "d1", 0).at(70);
+    assert_snapshot!(b.trace());
+}
+
+#[test]
+fn an_id_dialled_on_two_links_is_answered_on_the_newest_of_its_caller() {
+    let mut b = Bench::new("a");
+    b.caller(101, "gateway").caller(102, "stranger").dials(100, "d1", 0).at(20);
+    b.dials(102, "d1", 0).dials(101, "d1", 0).at(25).loses(LinkId(100)).at(30);
+    b.hangs_up(102, "d1").stood("a", "d1", 0).at(40).dials(102, "d1", 0);
+    assert_snapshot!(b.trace());
+}
+
+#[test]
+fn an_entry_goes_while_launches_are_out_and_its_id_is_used_again() {
+    let mut b = Bench::new("ab");
+    let former = b.link_to("a");
+    b.dials(100, "d1", 0).at(20).lists(false, vec![entry("a", "a", Listed::Gone, 0)]).at(30);
+    b.dials(100, "d2", 0).at(40);
+    // Another machine under the old id, elsewhere: the old link ends what is out on it.
+    b.lists(false, vec![entry("a", "a2", Listed::Active, 1)]).at(60);
+    let new = b.link_to("a2");
+    b.edge.connected(ms(60), new, &mut b.trace);
+    b.hears(new, hello(Role::Core, "a")).at(200).dials(100, "d3", 0).at(210);
+    b.hears(former, Frame::Stood { dialogue: id("d1"), launch: LaunchNo(0), report: LoadReport::default() });
+    b.at(220).loses(former).at(230);
+    assert_snapshot!(b.trace());
+}
+
+#[test]
+fn a_stall_longer_than_the_cut_off_then_everything_at_once() {
+    let mut b = Bench::new("ab");
+    b.dials(100, "d1", 0).dials(100, "d2", 1).at(20).stalls_until(4000);
+    // What came meanwhile is read first: answers, a hang-up, dials whose time starts when they are read.
+    b.stood("a", "d1", 0).hangs_up(100, "d1").dials(100, "d3", 0).at(4010);
+    assert_snapshot!(b.trace());
+}
+
+#[test]
+fn a_caller_that_never_reads_loses_its_link_and_others_do_not_notice() {
+    let mut b = Bench::new("a");
+    b.caller(101, "deaf").dials(101, "d1", 0).dials(101, "d2", 0).at(20);
+    b.trace.full.insert(LinkId(101));
+    b.stood("a", "d1", 0).at(25).dials(100, "d3", 0).at(60).stood("a", "d3", 0).at(70);
+    assert_snapshot!(b.trace());
+}
+
+#[test]
+fn started_before_any_server_or_list_is_there() {
+    let mut b = Bench::bare(Limits::default());
+    b.at(0).caller(100, "gateway").dials(100, "d1", 0).at(100);
+    let list = b.link_to("list");
+    b.loses(list).at(400).list_up("a").at(420).stood("a", "d1", 0).at(430);
+    assert_snapshot!(b.trace());
+}
+
+#[test]
+fn a_launch_waits_for_its_link_and_is_out_of_reach_when_that_fails() {
+    let mut b = Bench::new("ab");
+    let (a, list) = (b.link_to("a"), b.link_to("list"));
+    b.loses(a).at(20).dials(100, "d1", 0).at(25);
+    let again = b.link_to("a");
+    b.loses(again).at(40).stood("b", "d1", 1).at(50).dials(100, "d2", 0).at(60).hangs_up(100, "d2").at(70);
+    b.core_up("a").at(80).loses(list).at(90);
+    assert_snapshot!(b.trace());
+}
+
+#[test]
+fn a_link_that_answers_nothing_is_asked_and_then_closed() {
+    let mut b = Bench::new("ab");
+    b.dials(100, "d1", 0).at(30).stood("a", "d1", 0);
+    for time in (500..6000).step_by(500) {
+        // The caller, the list and b are there; a is half open.
+        let (list, server) = (b.link_to("list"), b.link_to("b"));
+        b.at(time);
+        b.trace.quiet = true;
+        for link in [LinkId(100), list, server] {
+            b.hears(link, Frame::Pong { nonce: 0 });
+        }
+        b.trace.quiet = false;
+    }
+    assert_snapshot!(b.trace());
+}
+
+#[test]
+fn what_is_not_for_it_to_say_ends_a_link() {
+    let mut b = Bench::bare(Limits::default());
+    b.trace.quiet = true;
+    b.at(0);
+    b.trace.quiet = false;
+    for (link, frames) in [
+        (1, vec![Frame::Dial(dial("d1", 0, 1000))]),
+        (2, vec![Frame::Hello(Hello { version: 9, role: Role::Caller, name: Arc::from("x") })]),
+        (3, vec![hello(Role::Core, "a")]),
+        (4, vec![hello(Role::Caller, "x"), hello(Role::Caller, "x")]),
+        (5, vec![hello(Role::Caller, "x"), Frame::Failed { dialogue: id("d1") }]),
+        (6, vec![hello(Role::Caller, "x"), Frame::Bye { why: Arc::from("done") }]),
+        (7, vec![]),
+    ] {
+        b.edge.linked(ms(b.trace.now), LinkId(200 + link), &mut b.trace);
+        for frame in frames {
+            b.hears(LinkId(200 + link), frame);
+        }
+    }
+    b.at(2500);
+    assert_snapshot!(b.trace());
+    assert_eq!(b.edge.sizes().1, 1, "of the callers' links none is left, the list's is being made");
+}
+
+#[test]
+fn dials_that_cannot_be_read_as_a_wish_are_declined() {
+    let mut b = Bench::new("a");
+    let plain = dial("d", 0, 1000);
+    let wrong = [
+        Dial { dialogue: id("d1"), product: 1, ..plain.clone() },
+        Dial { dialogue: id("d2"), tenant: Some(0), ..plain.clone() },
+        Dial { dialogue: id("d3"), width: 0.0, ..plain.clone() },
+        Dial { dialogue: id("d4"), width: 1e9, ..plain.clone() },
+        Dial { dialogue: id("d5"), time_left: Duration::ZERO, ..plain.clone() },
+    ];
+    for dial in wrong {
+        b.hears(LinkId(100), Frame::Dial(dial));
+    }
+    assert_snapshot!(b.trace());
+    assert_eq!(b.edge.counts().taken, 0);
+}
+
+#[test]
+fn optional_fields_of_a_dial_go_on_with_its_launch() {
+    let mut b = Bench::new("a");
+    let extra = vec![Extra { tag: 200, value: vec![1, 2, 3] }];
+    let message = Message { frame: Frame::Dial(dial("d1", 0, 1000)), extra };
+    b.edge.heard(ms(10), LinkId(100), message, &mut b.trace);
+    assert_snapshot!(b.trace());
+}
+
+#[test]
+fn ten_thousand_dialogues_on_one_link_end_with_it() {
+    let mut b = Bench::new("a");
+    b.trace.quiet = true;
+    for n in 0..10_000 {
+        b.dials(100, &format!("d{n}"), 0).stood("a", &format!("d{n}"), 0);
+        if n % 10 == 0 {
+            let time = b.trace.now + 1;
+            b.at(time);
+        }
+    }
+    assert_eq!((b.edge.counts().taken, b.edge.sizes().0), (10_000, 10_000));
+    let stood = b.edge.counts().stood;
+    assert!(stood > 9_000, "{stood} of 10,000 stand");
+    b.loses(LinkId(100));
+    for n in 0..10_000 {
+        b.ended("a", &format!("d{n}"), 0, End::Released);
+    }
+    assert_eq!(b.edge.sizes().0, 0);
+}
+
+#[test]
+fn five_thousand_links_that_say_nothing_cost_the_others_nothing() {
+    let mut b = Bench::new("a");
+    b.trace.quiet = true;
+    for n in 0..5000 {
+        b.edge.linked(ms(b.trace.now), LinkId(1000 + n), &mut b.trace);
+        assert!(b.edge.sizes().1 <= 3 + Limits::default().fresh, "bounded at every moment");
+    }
+    b.trace.quiet = false;
+    b.dials(100, "d1", 0).at(20).stood("a", "d1", 0);
+    b.trace.quiet = true;
+    b.at(2600);
+    assert_eq!(b.edge.sizes().1, 3, "the caller, the list and the server are left");
+    assert_snapshot!(b.trace());
+}
+
+#[test]
+fn bounds_hold_and_their_answers_are_said() {
+    let mut b = Bench::bare(Limits { dialogues: 2, links: 2, queued: 1, ..Limits::default() });
+    b.trace.quiet = true;
+    b.at(0).list_up("a").caller(100, "x").caller(101, "y");
+    b.trace.quiet = false;
+    b.edge.linked(ms(0), LinkId(102), &mut b.trace);
+    b.dials(100, "d1", 0).dials(100, "d2", 0).dials(101, "d3", 0);
+    assert_snapshot!(b.trace());
+}
--- a/crates/standin/src/crowd.rs
+++ b/crates/standin/src/crowd.rs
@@ -54,6 +54,10 @@
     pub until: Duration,
 }
 
+/// A caller whose cut-off passes without an answer waits so much longer before it hangs up: it takes an edge
+/// proxy's silence for what it is, not for a race with its own hang-up.
+const LINGER: Duration = Duration::from_millis(500);
+
 /// What the callers are up to just now.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Mood {
@@ -336,11 +340,13 @@
             time_left: left,
             again,
             came_back: caller.came_back,
+            sent_at: Some(now),
             try_of: again.then(|| caller.first.clone()),
         });
         self.at_edge[edge].insert(dialogue.clone());
-        self.due(now + left, Due::HangUp(dialogue.clone()));
-        self.calls.insert(dialogue, Call { caller, edge, stage: Stage::Asked, hang_up_at: now + left });
+        let hang_up_at = now + left + LINGER;
+        self.due(hang_up_at, Due::HangUp(dialogue.clone()));
+        self.calls.insert(dialogue, Call { caller, edge, stage: Stage::Asked, hang_up_at });
         floor.say(link, frame.into());
     }
 
--- a/crates/trunk/src/codec.rs
+++ b/crates/trunk/src/codec.rs
@@ -113,6 +113,7 @@
 const ENTRY: u8 = 18;
 const ADDRESS: u8 = 19;
 const LIFE: u8 = 20;
+const SENT_AT: u8 = 21;
 
 struct Writer<'a>(&'a mut Vec<u8>);
 
@@ -223,6 +224,9 @@
             if let Some(first) = &dial.try_of {
                 to.text(TRY_OF, &first.0);
             }
+            if let Some(sent_at) = dial.sent_at {
+                to.time(SENT_AT, sent_at);
+            }
             to.whole(NUMBER, dial.first_choice.0 as u64).real(WIDTH, dial.width).time(TIME, dial.time_left);
             to.whole(FLAGS, u64::from(dial.again) | u64::from(dial.came_back) << 1);
             DIAL
@@ -483,6 +487,7 @@
                 time_left: f.need(TIME, time)?,
                 again: flags & 1 != 0,
                 came_back: flags & 2 != 0,
+                sent_at: f.maybe(SENT_AT, time)?,
                 try_of: f.maybe(TRY_OF, text)?.map(DialogueId),
             })
         }
--- a/crates/trunk/src/frame.rs
+++ b/crates/trunk/src/frame.rs
@@ -224,6 +224,10 @@
     pub again: bool,
     /// ... and stood, and was cut.
     pub came_back: bool,
+    /// When the caller said this, by any clock of its own that only goes forward: the slowest dials of a link are
+    /// told from the fastest by it, and what they lost on the way is not counted as time left.
+    #[serde(default, skip_serializing_if = "Option::is_none", with = "texts::maybe_micros")]
+    pub sent_at: Option<Duration>,
     /// The dialogue that was its first try.
     #[serde(default, skip_serializing_if = "Option::is_none", with = "texts::maybe_dialogue")]
     pub try_of: Option<DialogueId>,
--- /dev/null
+++ b/crates/trunk/tests/frames.rs
@@ -0,0 +1,275 @@
+//! Frames there and back, and what comes of bytes that are none.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use lotussaddle::interface::*;
+use lotussaddle_trunk::*;
+use proptest::prelude::*;
+
+fn text() -> impl Strategy<Value = Arc<str>> {
+    "[a-zA-Z0-9.:+-]{1,40}".prop_map(Arc::from)
+}
+
+fn dialogue() -> impl Strategy<Value = DialogueId> {
+    text().prop_map(DialogueId)
+}
+
+fn figure() -> impl Strategy<Value = Option<f64>> {
+    proptest::option::of(0.0..1e9)
+}
+
+fn micros() -> impl Strategy<Value = Duration> {
+    (0u64..1_000_000_000_000).prop_map(Duration::from_micros)
+}
+
+fn report() -> impl Strategy<Value = LoadReport> {
+    (figure(), figure(), figure(), figure(), proptest::option::of(0u32..100_000), figure()).prop_map(
+        |(free_lines, lines, busy, queue, wait, rate)| {
+            let wait = wait.map(|wait| Duration::from_millis(wait.into()));
+            LoadReport { free_lines, lines, busy, queue, wait, rate }
+        },
+    )
+}
+
+fn launch_no() -> impl Strategy<Value = LaunchNo> {
+    any::<u32>().prop_map(LaunchNo)
+}
+
+fn end() -> impl Strategy<Value = End> {
+    prop_oneof![Just(End::Released), Just(End::Cut)]
+}
+
+fn entry() -> impl Strategy<Value = Entry> {
+    let listed = prop_oneof![Just(Listed::Active), Just(Listed::Leaving), Just(Listed::Gone)];
+    (text(), any::<i64>(), text(), listed, any::<u64>(), micros()).prop_map(
+        |(server, number, address, listed, life, age)| Entry {
+            server: ServerId(server),
+            number: ServerNumber(number),
+            address,
+            listed,
+            life,
+            age,
+        },
+    )
+}
+
+fn dial() -> impl Strategy<Value = Frame> {
+    let who = (dialogue(), proptest::option::of(text()), any::<u16>(), proptest::option::of(any::<u16>()));
+    let what = (any::<i64>(), 0.0..1e6, micros(), any::<bool>(), any::<bool>());
+    let more = (proptest::option::of(micros()), proptest::option::of(dialogue()));
+    (who, what, more).prop_map(|((dialogue, key, product, tenant), what, (sent_at, try_of))| {
+        let (first_choice, width, time_left, again, came_back) = what;
+        Frame::Dial(Dial {
+            dialogue,
+            key: key.map(DialledKey),
+            product,
+            tenant,
+            first_choice: ServerNumber(first_choice),
+            width,
+            time_left,
+            again,
+            came_back,
+            sent_at,
+            try_of,
+        })
+    })
+}
+
+fn frame() -> impl Strategy<Value = Frame> {
+    let roles = prop_oneof![Just(Role::Caller), Just(Role::Edge), Just(Role::Core), Just(Role::List)];
+    let causes =
+        prop_oneof![Just(Cause::Processor), Just(Cause::Lines), Just(Cause::NumberBusy), Just(Cause::Fault)];
+    let whys = prop_oneof![
+        Just(NotTaken::Full),
+        Just(NotTaken::Concluded),
+        Just(NotTaken::NotYours),
+        Just(NotTaken::Unknown)
+    ];
+    let of_launch = || (dialogue(), launch_no(), report());
+    prop_oneof![
+        (any::<u16>(), roles, text()).prop_map(|(version, role, name)| Frame::Hello(Hello {
+            version,
+            role,
+            name
+        })),
+        any::<u64>().prop_map(|nonce| Frame::Ping { nonce }),
+        any::<u64>().prop_map(|nonce| Frame::Pong { nonce }),
+        text().prop_map(|why| Frame::Bye { why }),
+        dial(),
+        dialogue().prop_map(|dialogue| Frame::HangUp { dialogue }),
+        (dialogue(), text()).prop_map(|(dialogue, s)| Frame::Stands { dialogue, server: ServerId(s) }),
+        (dialogue(), proptest::option::of(micros()))
+            .prop_map(|(dialogue, come_back)| Frame::Refused { dialogue, come_back }),
+        dialogue().prop_map(|dialogue| Frame::Failed { dialogue }),
+        (dialogue(), whys).prop_map(|(dialogue, why)| Frame::Declined { dialogue, why }),
+        (dialogue(), end()).prop_map(|(dialogue, end)| Frame::Over { dialogue, end }),
+        (dialogue(), launch_no(), proptest::option::of(text()), any::<u16>(), 0.0..1e6, micros()).prop_map(
+            |(dialogue, launch, key, product, width, time_left)| {
+                let key = key.map(DialledKey);
+                Frame::Launch(Launch { dialogue, launch, key, product, width, time_left })
+            }
+        ),
+        (dialogue(), launch_no()).prop_map(|(dialogue, launch)| Frame::Cancel { dialogue, launch }),
+        (dialogue(), launch_no()).prop_map(|(dialogue, launch)| Frame::Release { dialogue, launch }),
+        of_launch().prop_map(|(dialogue, launch, report)| Frame::Stood { dialogue, launch, report }),
+        (of_launch(), causes).prop_map(|((dialogue, launch, report), cause)| Frame::TurnedBack {
+            dialogue,
+            launch,
+            cause,
+            report
+        }),
+        of_launch().prop_map(|(dialogue, launch, report)| Frame::BrokenOff { dialogue, launch, report }),
+        (of_launch(), end()).prop_map(|((dialogue, launch, report), end)| Frame::Ended {
+            dialogue,
+            launch,
+            end,
+            report
+        }),
+        report().prop_map(|report| Frame::Report { report }),
+        (any::<bool>(), proptest::collection::vec(entry(), 0..20))
+            .prop_map(|(whole, entries)| Frame::List { whole, entries }),
+    ]
+}
+
+fn message() -> impl Strategy<Value = Message> {
+    let extra = (128u8..=255, proptest::collection::vec(any::<u8>(), 0..20));
+    let extra = extra.prop_map(|(tag, value)| Extra { tag, value });
+    (frame(), proptest::collection::vec(extra, 0..4)).prop_map(|(frame, extra)| Message { frame, extra })
+}
+
+fn bytes(message: &Message) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    message.encode(&mut bytes);
+    bytes
+}
+
+/// All that a decoder makes of bytes that come in pieces of such a size.
+fn decoded(bytes: &[u8], piece: usize) -> Vec<Result<Message, TrunkError>> {
+    let mut decoder = Decoder::default();
+    let mut all = Vec::new();
+    for piece in bytes.chunks(piece) {
+        decoder.take(piece);
+        while let Some(message) = decoder.frame() {
+            all.push(message);
+        }
+    }
+    all
+}
+
+/// The seed is fixed: the same verdict each time.
+fn cases(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..Default::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(cases(600))]
+
+    /// Whatever the pieces, frames come back as they went, optional fields that nobody knows included.
+    #[test]
+    fn frames_come_back_as_they_went(messages in proptest::collection::vec(message(), 1..6), piece in 1usize..200) {
+        let all: Vec<u8> = messages.iter().flat_map(bytes).collect();
+        let back: Vec<Message> = decoded(&all, piece).into_iter().map(|m| m.unwrap()).collect();
+        prop_assert_eq!(back, messages);
+    }
+
+    /// The record of traffic keeps a frame whole, too.
+    #[test]
+    fn frames_come_back_from_a_record(message in message()) {
+        let line = serde_json::to_string(&message).unwrap();
+        let back: Message = serde_json::from_str(&line).unwrap();
+        prop_assert_eq!(bytes(&back), bytes(&message));
+    }
+
+    /// A frame with bytes changed is another frame or an error, never a panic; nothing follows an error.
+    #[test]
+    fn changed_bytes_are_another_frame_or_an_error(
+        message in message(), changes in proptest::collection::vec((any::<usize>(), any::<u8>()), 1..5)
+    ) {
+        let mut all = bytes(&message);
+        for (place, value) in changes {
+            let place = place % all.len();
+            all[place] = value;
+        }
+        all.extend(bytes(&Frame::Ping { nonce: 1 }.into()));
+        let back = decoded(&all, all.len());
+        let errors = back.iter().filter(|m| m.is_err()).count();
+        prop_assert!(errors == 0 || (errors == 1 && back.last().unwrap().is_err()));
+    }
+
+    /// Garbage is refused, and no more of it is held than one frame may have.
+    #[test]
+    fn garbage_is_refused_in_bounded_memory(garbage in proptest::collection::vec(any::<u8>(), 0..5000)) {
+        let mut decoder = Decoder::default();
+        for piece in garbage.chunks(100) {
+            decoder.take(piece);
+            while let Some(message) = decoder.frame() {
+                if let Err(error) = message {
+                    prop_assert!(!error.to_string().is_empty());
+                }
+            }
+            prop_assert!(decoder.pending() <= MAX_FRAME + 4 + 100);
+        }
+    }
+}
+
+/// Every place at which a frame may be cut short, seen by the frame's own reader.
+#[test]
+fn a_frame_cut_short_inside_is_an_error_that_names_it() {
+    let launch = Frame::Launch(Launch {
+        dialogue: DialogueId(Arc::from("d1")),
+        launch: LaunchNo(3),
+        key: None,
+        product: 1,
+        width: 1.0,
+        time_left: Duration::from_millis(5),
+    });
+    let whole = bytes(&launch.into());
+    for cut in 5..whole.len() {
+        let mut short = whole[..cut].to_vec();
+        short[..4].copy_from_slice(&((cut - 4) as u32).to_be_bytes());
+        let said = decoded(&short, 1000).remove(0).unwrap_err().to_string();
+        assert!(said.contains("launch"), "cut at {cut}: {said}");
+    }
+}
+
+#[test]
+fn what_is_wrong_is_named() {
+    let frame = |kind: u8, body: &[u8]| {
+        let mut all = (body.len() as u32 + 1).to_be_bytes().to_vec();
+        all.push(kind);
+        all.extend_from_slice(body);
+        decoded(&all, 1000).remove(0).unwrap_err().to_string()
+    };
+    let cases = [
+        (frame(99, &[]), "frame kind 99 is not known"),
+        (frame(17, &[]), "hang_up: field 1 is missing"),
+        (frame(17, &[1, 1, b'x', 1, 1, b'y']), "hang_up: field 1 comes twice"),
+        (frame(17, &[1, 1, b'x', 77, 0]), "hang_up: field 77 is not known"),
+        (frame(17, &[1, 0]), "hang_up: field 1 is empty"),
+        (frame(17, &[1, 1, 255]), "hang_up: field 1 is no UTF-8"),
+        (frame(17, &[1, 1, 7]), "hang_up: field 1 has control characters"),
+        (frame(17, &[1, 5, b'x']), "hang_up: the field at byte 0 is cut short"),
+        (frame(17, &[1, 255, 255, 255, 255, 255]), "hang_up: the field at byte 0 is cut short"),
+        (frame(20, &[&[1, 129, 1][..], &[b'x'; 129]].concat()), "failed: field 1 is too long"),
+        (frame(21, &[1, 1, b'x', 4, 1, 9]), "declined: field 4 is not known"),
+        (frame(2, &[14, 9, 1, 1, 1, 1, 1, 1, 1, 1, 1]), "ping: field 14 is over 64 bits"),
+        (frame(39, &[13, 1, 128]), "report: field 13 has more than is known"),
+        (frame(39, &[13, 2, 1, 0]), "report: field 13 is cut short"),
+        (
+            frame(17, &[&[1, 1, b'x', 200, 128, 2][..], &[0; 256]].concat()),
+            "hang_up: over 256 bytes of unknown",
+        ),
+    ];
+    for (said, wanted) in cases {
+        assert!(said.starts_with(wanted), "{said:?}, wanted {wanted:?}");
+    }
+    let long = decoded(&[0, 1, 0, 1, 9], 10).remove(0);
+    assert_eq!(long, Err(TrunkError::TooLong(65_537)));
+    assert_eq!(decoded(&[0, 0, 0, 0], 10).remove(0), Err(TrunkError::Empty));
+}
