The module finds by ordered indexes what it walked for

Each input sorted and walked all that waits, so a busy edge proxy would stop where it is needed most: 11 ms an answer with 50,000 dialogues waiting.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -14,12 +14,14 @@
 //! 5. Lost launches: one overtaken, or long unanswered without strain, is called off and goes elsewhere.
 //! 6. Budgets: starts, trials and overflow are spaced by what a server bore, shared by the number of proxies.
 
-use std::collections::BTreeMap;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
 use crate::interface::*;
 use crate::pcg::Pcg;
+use crate::ranked::{Ranked, Real};
 
 /// A limit is cut to this share of itself.
 const CUT: f64 = 0.7;
@@ -134,6 +136,23 @@
     not_before: Duration,
 }
 
+/// Who is launched first: of higher gain, then the newest. Where room is short the oldest is about to leave
+/// or to stand too late.
+type Rank = (Reverse<Real>, Reverse<Duration>, DialogueId);
+
+/// The waiting room, in the orders in which the rules look at it.
+#[derive(Default)]
+struct Room {
+    /// By the time when even an immediate answer would be late.
+    by_end: BTreeSet<(Duration, DialogueId)>,
+    /// By what is left of that once it may be launched; nothing for one that may not.
+    by_rest: BTreeSet<(Duration, DialogueId)>,
+    /// Not yet to be launched, by when it may.
+    barred: BTreeSet<(Duration, DialogueId)>,
+    /// To be launched, by first choice (none: no server has that number) and product.
+    ready: BTreeMap<(Option<ServerNumber>, ProductId), Ranked<Rank>>,
+}
+
 /// A tenant's part of all quotas, and its part of the dialogues that lately came in here.
 struct Demand {
     quota: f64,
@@ -147,8 +166,12 @@
     now: Duration,
     servers: BTreeMap<ServerId, Server>,
     dialogues: BTreeMap<DialogueId, Dialogue>,
+    /// The same by when they must be answered.
+    by_answer: BTreeSet<(Duration, DialogueId)>,
+    room: Room,
     /// Callers let go who may dial again: when they first dialled, and until when they may.
     callers: BTreeMap<DialledKey, (Duration, Duration)>,
+    by_until: BTreeSet<(Duration, DialledKey)>,
     /// More than an arrival has come since the rules were last gone through.
     look: bool,
     alarm_set: bool,
@@ -201,7 +224,10 @@
             now: Duration::ZERO,
             servers: BTreeMap::new(),
             dialogues: BTreeMap::new(),
+            by_answer: BTreeSet::new(),
+            room: Room::default(),
             callers: BTreeMap::new(),
+            by_until: BTreeSet::new(),
             look: true,
             alarm_set: false,
         }
@@ -211,6 +237,8 @@
 
     pub fn listed(&mut self, now: Duration, whole: bool, entries: &[ListEntry], out: &mut dyn Signalling) {
         self.turn_to(now);
+        let numbers = |brain: &Self| brain.servers.values().map(|s| s.number).collect::<BTreeSet<_>>();
+        let before = numbers(self);
         if whole {
             self.servers.values_mut().for_each(|s| s.listed = Listed::Gone);
         }
@@ -241,6 +269,12 @@
         let active: Vec<ServerNumber> = active.map(|s| s.number).collect();
         self.servers
             .retain(|_, s| s.listed != Listed::Gone || !s.out.is_empty() || !active.contains(&s.number));
+        if numbers(self) != before {
+            // First choices that nobody had may be somebody's now, and the other way round.
+            for (_, ranked) in std::mem::take(&mut self.room.ready) {
+                ranked.into_iter().for_each(|(.., id)| self.make_ready(&id));
+            }
+        }
         self.settle(out);
     }
 
@@ -250,9 +284,9 @@
         }
         let part = if self.beyond_quota(arrival.tenant) { self.figures.over_quota_share } else { 1.0 };
         // A further try is measured from the first one: past the promised time little of its gain is left.
-        let product = &self.figures.products[arrival.product.0];
         let may_be_again = arrival.again || !self.figures.marks_again;
-        let before = arrival.key.as_ref().filter(|_| may_be_again).and_then(|key| self.callers.remove(key));
+        let before = arrival.key.as_ref().filter(|_| may_be_again).and_then(|key| self.forget_caller(key));
+        let product = &self.figures.products[arrival.product.0];
         let first_dialled = before.map_or(now, |(first, _)| first);
         let unknown = arrival.again && !arrival.came_back && before.is_none();
         let late = unknown || now >= first_dialled + product.promised;
@@ -275,8 +309,10 @@
             shunned: None,
             not_before: now,
         };
-        self.look |= now >= self.launch_by(&dialogue);
-        self.dialogues.insert(arrival.id, dialogue);
+        self.look |= now >= dialogue.end().saturating_sub(self.usual());
+        self.by_answer.insert((dialogue.answer_by, arrival.id.clone()));
+        self.dialogues.insert(arrival.id.clone(), dialogue);
+        self.wait(&arrival.id);
         self.settle(out);
     }
 
@@ -299,7 +335,7 @@
         out: &mut dyn Signalling,
     ) {
         self.turn_to(now);
-        self.dialogues.remove(id);
+        self.take(id);
         if let Some(server) = self.servers.get_mut(server)
             && let Some(at) = server.answered(now, id, launch, out)
         {
@@ -342,7 +378,7 @@
             }
         }
         if end.closed {
-            self.dialogues.remove(&end.dialogue);
+            self.take(&end.dialogue);
         } else if !self.dialogues.contains_key(&end.dialogue) {
             out.fail(&end.dialogue); // Called off in the moment it stood: the answer is owed again.
         } else if let Some(dialogue) = self.dialogues.get_mut(&end.dialogue)
@@ -362,6 +398,7 @@
                 Outcome::NumberBusy => dialogue.launches = self.figures.max_launches,
                 _ => dialogue.turned_back += 1,
             }
+            self.wait(&end.dialogue);
         }
         self.settle(out);
     }
@@ -375,7 +412,17 @@
     fn turn_to(&mut self, now: Duration) {
         self.look = true;
         self.now = now;
-        self.callers.retain(|_, (_, until)| *until > now);
+        while let Some((until, key)) = self.by_until.first().cloned()
+            && until <= now
+        {
+            self.forget_caller(&key);
+        }
+        while let Some((not_before, _)) = self.room.barred.first()
+            && *not_before <= now
+        {
+            let (_, id) = self.room.barred.pop_first().expect("it is there");
+            self.make_ready(&id);
+        }
     }
 
     /// After an arrival at a moment already looked at, only the launching rule can fire.
@@ -393,20 +440,24 @@
 
     /// Whatever else goes wrong, a dialogue is answered before the cut-off of its try.
     fn answer_before_the_cut_off(&mut self, out: &mut dyn Signalling) -> bool {
-        let Some(id) = self.find(|d| self.now >= d.answer_by) else { return false };
-        self.let_go(&id, out);
-        out.fail(&id);
-        true
+        let overdue: BTreeSet<DialogueId> = up_to(&self.by_answer, self.now).collect();
+        for id in &overdue {
+            self.let_go(id, out);
+            out.fail(id);
+        }
+        !overdue.is_empty()
     }
 
     /// What can no longer stand within the promised time is refused at once, to the good of what can.
     fn refuse_the_hopeless(&mut self, out: &mut dyn Signalling) -> bool {
-        let spent = |d: &Dialogue| d.turned_back > 1 || d.launches >= self.figures.max_launches;
-        let late = |d: &Dialogue| self.now.max(d.not_before) >= self.launch_by(d);
-        let Some(id) = self.find(|d| d.at.is_none() && (spent(d) || late(d))) else { return false };
-        self.let_go(&id, out);
-        out.refuse(&id, self.figures.come_back);
-        true
+        let usual = self.usual();
+        let late = up_to(&self.room.by_end, self.now + usual);
+        let hopeless: BTreeSet<DialogueId> = late.chain(up_to(&self.room.by_rest, usual)).collect();
+        for id in &hopeless {
+            self.let_go(id, out);
+            out.refuse(id, self.figures.come_back);
+        }
+        !hopeless.is_empty()
     }
 
     /// Launches out and no sign of life: hung, cut off, or dead before the list tells.
@@ -423,31 +474,27 @@
     /// A launch that is probably lost is called off, to go elsewhere while there is hope.
     fn call_off_the_lost(&mut self, out: &mut dyn Signalling) -> bool {
         let (now, figures) = (self.now, &self.figures);
-        let lost = self.dialogues.iter_mut().find(|(id, d)| {
-            let server = d.at.as_ref().and_then(|at| self.servers.get(at));
-            figures.may_cancel
-                && !d.called_off
-                && now + figures.release < d.promised
-                && server.is_some_and(|s| s.out.iter().any(|o| o.dialogue == **id && now >= s.lost_at(o)))
+        let lost = self.servers.iter().flat_map(|(server, s)| {
+            let old = s.out.iter().take_while(|o| now >= o.at + s.ordinary());
+            let lost = old.filter(|o| figures.may_cancel && now >= s.lost_at(o));
+            lost.filter(|o| {
+                let dialogue = self.dialogues.get(&o.dialogue).filter(|d| d.at.as_ref() == Some(server));
+                dialogue.is_some_and(|d| !d.called_off && now + figures.release < d.promised)
+            })
         });
-        let Some((id, dialogue)) = lost else { return false };
+        let Some(id) = lost.map(|o| &o.dialogue).min().cloned() else { return false };
+        let dialogue = self.dialogues.get_mut(&id).expect("it was looked up");
         dialogue.called_off = true;
-        out.cancel(id, dialogue.last_launch());
+        out.cancel(&id, dialogue.last_launch());
         true
     }
 
-    /// Of the dialogues that wait and have a server, the one of highest gain is launched, the newest first:
-    /// where room is short the oldest is about to leave or to stand too late.
+    /// Of the dialogues that wait and have a server, the one of highest gain is launched, the newest first.
     fn launch_the_best(&mut self, out: &mut dyn Signalling) -> bool {
-        if !self.servers.values().any(|s| s.open(self.now)) {
-            return false;
-        }
-        let waiting = self.dialogues.iter().filter(|(_, d)| d.at.is_none() && self.now >= d.not_before);
-        let mut waiting: Vec<_> = waiting.collect();
-        waiting
-            .sort_by(|(_, a), (_, b)| b.gain.total_cmp(&a.gain).then(b.first_dialled.cmp(&a.first_dialled)));
-        let best = waiting.into_iter().find_map(|(id, d)| Some((id.clone(), self.choose(d)?)));
-        let Some((id, server_id)) = best else { return false };
+        let open = self.servers.values().filter(|s| s.open(self.now));
+        let Some((.., id)) = open.filter_map(|s| self.best_for(s)).min().cloned() else { return false };
+        self.leave_room(&id);
+        let server_id = self.choose(&self.dialogues[&id]).expect("a server takes it");
         let dialogue = self.dialogues.get_mut(&id).expect("it waits");
         let server = self.servers.get_mut(&server_id).expect("it was chosen");
         dialogue.launches += 1;
@@ -464,11 +511,11 @@
 
     /// The first choice while it qualifies, else the qualifying server with most estimated free lines.
     fn choose(&self, dialogue: &Dialogue) -> Option<ServerId> {
-        let able = self.figures.products[dialogue.product.0].servers.as_ref();
         let qualifying = self.servers.iter().filter(|(_, s)| {
-            able.is_none_or(|able| able.contains(&s.number))
+            self.is_able(s, dialogue.product)
                 && s.open(self.now)
-                && s.covers(self.now, dialogue)
+                && s.takes(self.now)(dialogue.lot, dialogue.width)
+                && (s.number == dialogue.first_choice || s.takes_overflow(self.now))
         });
         let rank = |(id, s): &(&ServerId, &Server)| {
             let shunned = dialogue.shunned.as_ref() == Some(*id);
@@ -480,15 +527,77 @@
 
     // Figures that several rules share
 
-    fn find(&self, which: impl Fn(&Dialogue) -> bool) -> Option<DialogueId> {
-        self.dialogues.iter().find(|(_, d)| which(d)).map(|(id, _)| id.clone())
+    fn is_able(&self, server: &Server, product: ProductId) -> bool {
+        self.figures.products[product.0].servers.as_ref().is_none_or(|able| able.contains(&server.number))
+    }
+
+    /// The dialogue that would be launched first, had only this server room.
+    fn best_for(&self, server: &Server) -> Option<&Rank> {
+        let (takes, overflow) = (server.takes(self.now), server.takes_overflow(self.now));
+        let ready = self.room.ready.iter().filter(|((choice, product), _)| {
+            (overflow || *choice == Some(server.number)) && self.is_able(server, *product)
+        });
+        ready.filter_map(|(_, ranked)| ranked.first(&takes)).min()
     }
 
-    /// A launch later than this would probably stand after the promised time.
-    fn launch_by(&self, dialogue: &Dialogue) -> Duration {
+    /// The quickest answer to be expected.
+    fn usual(&self) -> Duration {
         let serving = self.servers.values().filter(|s| s.trial_at.is_none());
-        let usual = serving.map(|s| s.usual).min().unwrap_or_default();
-        dialogue.promised.min(dialogue.answer_by).saturating_sub(usual)
+        serving.map(|s| s.usual).min().unwrap_or_default()
+    }
+
+    /// It waits from now on, or waits again.
+    fn wait(&mut self, id: &DialogueId) {
+        let dialogue = &self.dialogues[id];
+        self.room.by_end.insert((dialogue.end(), id.clone()));
+        self.room.by_rest.insert((dialogue.rest(&self.figures), id.clone()));
+        if dialogue.not_before > self.now {
+            self.room.barred.insert((dialogue.not_before, id.clone()));
+        } else {
+            self.make_ready(id);
+        }
+    }
+
+    fn make_ready(&mut self, id: &DialogueId) {
+        let dialogue = &self.dialogues[id];
+        let ranked = self.room.ready.entry(self.shelf(dialogue)).or_default();
+        ranked.add(dialogue.rank(id), dialogue.lot, dialogue.width);
+    }
+
+    fn shelf(&self, dialogue: &Dialogue) -> (Option<ServerNumber>, ProductId) {
+        let known = self.servers.values().any(|s| s.number == dialogue.first_choice);
+        (known.then_some(dialogue.first_choice), dialogue.product)
+    }
+
+    /// It does not wait any more.
+    fn leave_room(&mut self, id: &DialogueId) {
+        let dialogue = &self.dialogues[id];
+        self.room.by_end.remove(&(dialogue.end(), id.clone()));
+        self.room.by_rest.remove(&(dialogue.rest(&self.figures), id.clone()));
+        if !self.room.barred.remove(&(dialogue.not_before, id.clone())) {
+            let shelf = self.shelf(dialogue);
+            if let Some(ranked) = self.room.ready.get_mut(&shelf) {
+                ranked.remove(&dialogue.rank(id));
+                if ranked.is_empty() {
+                    self.room.ready.remove(&shelf);
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, id: &DialogueId) -> Option<Dialogue> {
+        if self.dialogues.get(id)?.at.is_none() {
+            self.leave_room(id);
+        }
+        let dialogue = self.dialogues.remove(id)?;
+        self.by_answer.remove(&(dialogue.answer_by, id.clone()));
+        Some(dialogue)
+    }
+
+    fn forget_caller(&mut self, key: &DialledKey) -> Option<(Duration, Duration)> {
+        let (first, until) = self.callers.remove(key)?;
+        self.by_until.remove(&(until, key.clone()));
+        Some((first, until))
     }
 
     /// Room is short only where tenants together ask for about their quotas or more; then one whose part of
@@ -504,12 +613,14 @@
 
     /// Takes out a dialogue that does not stand, and remembers its caller while it may dial again.
     fn let_go(&mut self, id: &DialogueId, out: &mut dyn Signalling) {
-        let Some(dialogue) = self.dialogues.remove(id) else { return };
+        let Some(dialogue) = self.take(id) else { return };
         if dialogue.at.is_some() && !dialogue.called_off && self.figures.may_cancel {
             out.cancel(id, dialogue.last_launch());
         }
         let until = dialogue.first_dialled + self.figures.products[dialogue.product.0].patience;
         if let Some(key) = dialogue.key {
+            self.forget_caller(&key);
+            self.by_until.insert((until, key.clone()));
             self.callers.insert(key, (dialogue.first_dialled, until));
         }
     }
@@ -519,6 +630,26 @@
     fn last_launch(&self) -> LaunchNo {
         LaunchNo(self.launches.saturating_sub(1))
     }
+
+    /// From then on it cannot stand within the promised time.
+    fn end(&self) -> Duration {
+        self.promised.min(self.answer_by)
+    }
+
+    /// The time from its next launch, were that not to be had sooner for want of a server, to its end.
+    fn rest(&self, figures: &Figures) -> Duration {
+        let spent = self.turned_back > 1 || self.launches >= figures.max_launches;
+        if spent { Duration::ZERO } else { self.end().saturating_sub(self.not_before) }
+    }
+
+    fn rank(&self, id: &DialogueId) -> Rank {
+        (Reverse(Real(self.gain)), Reverse(self.first_dialled), id.clone())
+    }
+}
+
+/// Those whose time is no later than this.
+fn up_to(times: &BTreeSet<(Duration, DialogueId)>, until: Duration) -> impl Iterator<Item = DialogueId> {
+    times.iter().take_while(move |(at, _)| *at <= until).map(|(_, id)| id.clone())
 }
 
 impl Server {
@@ -563,18 +694,20 @@
             && now >= self.last_launch + self.cold_gap(self.last_launch)
     }
 
-    /// It has room for this dialogue. What others turn away comes to the emptiest from all at once: proxies
-    /// take turns each gap, by lot, which lapse soon, else each had one saved up when a surge begins.
-    fn covers(&self, now: Duration, dialogue: &Dialogue) -> bool {
+    /// Which dialogues it has room for: by their lots while its limit is a share, and by their width.
+    fn takes(&self, now: Duration) -> impl Fn(f64, f64) -> bool {
+        let tried = self.last_launch + self.gap(TRIAL_SHARE);
+        let (estimate, limit, all) = (self.estimate(), self.limit, self.limit >= 1.0 || now >= tried);
+        move |lot, width| estimate >= width && (all || lot < limit)
+    }
+
+    /// What others turn away comes to the emptiest from all at once: proxies take turns each gap, by lot,
+    /// which lapse soon, else each had one saved up when a surge begins.
+    fn takes_overflow(&self, now: Duration) -> bool {
         let turn =
             now.saturating_sub(self.overflow_at).as_secs_f64() / self.gap(OVERFLOW_SHARE).as_secs_f64();
         let turn = (turn + f64::from(self.lot) / f64::from(u32::MAX)).fract();
-        let tried = self.last_launch + self.gap(TRIAL_SHARE);
-        self.estimate() >= dialogue.width
-            && (self.limit >= 1.0 || dialogue.lot < self.limit || now >= tried)
-            && (self.number == dialogue.first_choice
-                || self.borne == 0.0
-                || now >= self.overflow_at && turn < TURN.max(self.figures.headroom))
+        self.borne == 0.0 || now >= self.overflow_at && turn < TURN.max(self.figures.headroom)
     }
 
     fn read(&mut self, now: Duration, report: &LoadReport) {
