--- a/crates/cli/src/days.rs
+++ b/crates/cli/src/days.rs
@@ -5,11 +5,11 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use anyhow::{Context, Result, anyhow, bail};
+use anyhow::{Context, Result, anyhow};
 use clap::Subcommand;
 use lotussaddle_day::baseline::Baseline;
 use lotussaddle_day::live::Program;
-use lotussaddle_day::{Day, days, live, virt};
+use lotussaddle_day::{Day, days, from_bench, live, virt};
 use lotussaddle_judge::{Judge, Verdict, read_record, write_line};
 
 use crate::{Failed, report};
@@ -48,7 +48,14 @@
             play(&day, baseline.as_deref(), out, virtually)
         }
         DayCommand::Judge { folder } => told(&judge(&folder)?),
-        DayCommand::FromBench { .. } => bail!("from-bench is not built yet"),
+        DayCommand::FromBench { day } => {
+            let text =
+                std::fs::read_to_string(&day).with_context(|| format!("cannot read {}", day.display()))?;
+            let (found, left_out) =
+                from_bench::from_bench(&text).with_context(|| day.display().to_string())?;
+            print!("{}", from_bench::print(&found, &left_out)?);
+            Ok(())
+        }
         DayCommand::List => {
             for (name, sheet) in days::DAYS {
                 let about = sheet.lines().next().and_then(|line| line.strip_prefix("// "));
--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -130,13 +130,17 @@
 }
 
 fn serve(more: &str) -> Served {
+    serve_with("127.0.0.1:1", more)
+}
+
+fn serve_with(list: &str, more: &str) -> Served {
     let folder = tempfile::tempdir().unwrap();
     let sheet = path(folder.path(), "edge.kdl");
     let plan = "plan { proxies 1; release \"300ms\"; cold-share 0.4; warm-after \"5s\"; fall-multiple 2.0; \
                 product \"p\" { promised \"1s\"; lasts \"2s\"; cut-off \"5s\"; }; }";
     std::fs::write(
         &sheet,
-        format!("name \"edge-0\"\nlisten \"127.0.0.1:0\"\nlist \"127.0.0.1:1\"\n{more}\n{plan}\n"),
+        format!("name \"edge-0\"\nlisten \"127.0.0.1:0\"\nlist \"{list}\"\n{more}\n{plan}\n"),
     )
     .unwrap();
     let mut child = Command::new(PROGRAM)
@@ -292,3 +296,108 @@
     let log = served.end();
     assert!(log.contains("too many links that say no hello"), "{log}");
 }
+
+/// The first line of a stand-in says where it listens.
+fn stand_in(which: &str, folder: &Path, sheet: &str) -> (Child, String) {
+    let file = path(folder, &format!("{which}-{}.kdl", sheet.len()));
+    std::fs::write(&file, sheet).unwrap();
+    let mut child =
+        Command::new(PROGRAM).args(["standin", which, &file]).stdout(Stdio::piped()).spawn().unwrap();
+    let mut line = String::new();
+    BufReader::new(child.stdout.as_mut().unwrap()).read_line(&mut line).unwrap();
+    let address = line.trim().strip_prefix("listening ").unwrap_or_default().to_string();
+    (child, address)
+}
+
+#[test]
+fn stand_ins_by_themselves_carry_dialogues_through_an_edge_proxy() {
+    let folder = tempfile::tempdir().unwrap();
+    let core = "name \"core-0\"\nlisten \"127.0.0.1:0\"\nset-up \"5ms\"\nreports \"lines\" \"queue\"\n";
+    let (mut core, core_at) = stand_in("core", folder.path(), core);
+    let list = format!("listen \"127.0.0.1:0\"\ncore \"core-0\" {{ number 0; address \"{core_at}\"; }}\n");
+    let (mut list, list_at) = stand_in("list", folder.path(), &list);
+    let served = serve_with(&list_at, "");
+    let callers = format!(
+        "edge \"{}\"\nrate 40\nlasts \"2s\"\nproduct \"p\" {{ promised \"1s\"; cut-off \"5s\"; lasts \"200ms\"; choices 0; }}\n",
+        served.address
+    );
+    let sheet = path(folder.path(), "callers.kdl");
+    std::fs::write(&sheet, callers).unwrap();
+    let output = run(&["standin", "callers", &sheet]);
+    let text = said(&output);
+    assert_eq!(output.status.code(), Some(0), "{text}");
+    let over = text.lines().find_map(|line| line.strip_prefix("over: ")).expect("it says what came of it");
+    let figures: Vec<u64> = over.split(' ').filter_map(|word| word.parse().ok()).collect();
+    assert!(figures[0] > 40 && figures[1] == figures[0], "all that were dialled stood: {over}");
+    for child in [&mut core, &mut list] {
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+    let log = served.end();
+    assert!(log.contains("caller callers gone"), "{log}");
+}
+
+/// A day as the bench draws one, in its words, with all that is read of it.
+fn drawn(troubles: &str) -> String {
+    format!(
+        r#"{{"site":"s","kind":"trouble","length":8000000,"tick":5000,"zones":["a","b"],
+        "net":{{"same":1000,"cross":9000,"jitter":0.1}},"traffic":{{"load":0.9,"over_share_worth":0.2}},
+        "clients":{{"retries":2,"try_share":0.35,"backoff_us":500000,"honour":0.5,"max_retry_after":2000000,"marks_retry":true}},
+        "discovery":{{"notice":900000}},"allow":{{"cancel":true,"retry_after":true,"max_attempts":4}},
+        "drain_grace":500000,"fall_multiple":2.5,"fall_for":1000000,
+        "classes":[{{"name":"x","share":1.0,"aim":1500000,"deadline":9000000,"worth":1.0,"late_worth":0.2}}],
+        "tenants":[{{"name":"t","traffic":1.0,"quota":0.5}}],
+        "tiers":[{{"report_fields":["x0","x1","queue","eps"],"report_period":300000,"report_delay":20000,
+        "stated_cold_from":0.3,"stated_cold":5000000}}],"servers":[{{}},{{}},{{}}],"balancers":[{{}},{{}}],
+        "troubles":[{troubles}],"fam":{{"n":3,"hold":[3000000],"class_cells":[[0,1,2]],"drift":5000000,"finish_first":false,
+        "cancel_drops":false,"follow":0.3,"reject":0.2,"repeat":0.3,"queue":2000000,"release":300000,"resend":500000,
+        "size":[500,400,300],"pools":true}},"unknown":1}}"#
+    )
+}
+
+#[test]
+fn a_day_of_the_bench_becomes_a_day_file_that_plays() {
+    let folder = tempfile::tempdir().unwrap();
+    let of = |kind: &str, more: &str| {
+        format!(
+            r#"{{"kind":"{kind}","at":1000000,"len":3000000,"tier":0,"size":2.0,"extra":1.0,"on":[0],"which":0{more}}}"#
+        )
+    };
+    let kinds = [
+        "burst",
+        "crash",
+        "slow",
+        "ageing",
+        "hang",
+        "report_late",
+        "discovery_stale",
+        "origin_slow",
+        "zone_cut",
+        "mass_restart",
+        "retry_abuse",
+        "balancer_stall",
+        "answer_lost",
+        "give_up",
+        "deploy",
+        "locusts",
+    ];
+    let all: Vec<String> = kinds.iter().map(|kind| of(kind, r#","steps":[{"stop":[1]}]"#)).collect();
+    let json = path(folder.path(), "day.json");
+    std::fs::write(&json, drawn(&all.join(","))).unwrap();
+    let output = run(&["day", "from-bench", &json]);
+    let text = said(&output);
+    assert_eq!(output.status.code(), Some(0), "{text}");
+    assert!(text.contains("// left out: the trouble locusts\n"), "{text}");
+    assert!(text.contains("// left out: the reported figure eps\n"), "{text}");
+    assert_eq!(text.matches(" { at \"1s\"; lasts \"3s\";").count(), kinds.len() - 1, "{text}");
+    let sheet = path(folder.path(), "day.kdl");
+    std::fs::write(&sheet, &output.stdout).unwrap();
+    let played = run(&["day", "play", &sheet, "--virtual"]);
+    assert_eq!(played.status.code(), Some(0), "{}", said(&played));
+
+    for wrong in ["{}", "not json", &drawn("{}"), &drawn("").replace("\"pools\":true", "\"pools\":false")] {
+        std::fs::write(&json, wrong).unwrap();
+        let output = run(&["day", "from-bench", &json]);
+        assert_eq!(output.status.code(), Some(2), "{wrong}: {}", said(&output));
+    }
+}
--- a/crates/day/src/lib.rs
+++ b/crates/day/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod baseline;
 pub mod days;
+pub mod from_bench;
 pub mod live;
 mod plan;
 mod trouble;
--- a/crates/day/src/plan.rs
+++ b/crates/day/src/plan.rs
@@ -292,23 +292,7 @@
 impl CoresPlan {
     fn read(block: &Block) -> Self {
         let usual = Self::default();
-        let mut reports = Reports::default();
-        match block.maybe("reports") {
-            None => reports = usual.reports,
-            Some(node) => {
-                for place in 0..node.arguments() {
-                    match node.text(place).unwrap_or_default().as_str() {
-                        "lines" => reports.lines = true,
-                        "busy" => reports.busy = true,
-                        "queue" => reports.queue = true,
-                        "wait" => reports.wait = true,
-                        "rate" => reports.rate = true,
-                        other => node
-                            .wrong(format!("reports may be lines, busy, queue, wait, rate; not {other:?}")),
-                    }
-                }
-            }
-        }
+        let reports = block.maybe("reports").map(lotussaddle_standin::sheets::reports);
         let part = |name, usual| block.real(name, 0.0..=1.0, Some(usual));
         let cores = Self {
             count: block.whole("count", 1..=1000, None) as usize,
@@ -322,7 +306,7 @@
             longest_wait: block.time("longest-wait", MS..=S * 600, Some(usual.longest_wait)),
             finish_first: block.flag("finish-first", Some(usual.finish_first)),
             drops_cancelled: block.flag("drops-cancelled", Some(usual.drops_cancelled)),
-            reports,
+            reports: reports.unwrap_or(usual.reports),
             report_every: block.time("report-every", MS..=S * 60, Some(usual.report_every)),
             report_late: block.time("report-late", Duration::ZERO..=S * 60, Some(usual.report_late)),
         };
--- a/crates/edge/src/held.rs
+++ b/crates/edge/src/held.rs
@@ -39,8 +39,8 @@
     fn default() -> Self {
         Self {
             dialogues: 200_000,
-            links: 1_000,
-            fresh: 128,
+            links: 2_000,
+            fresh: 512,
             hello_within: Duration::from_secs(2),
             ask_after: Duration::from_secs(1),
             dead_after: Duration::from_secs(5),
--- a/crates/links/src/hub.rs
+++ b/crates/links/src/hub.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::Duration;
 
-use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
+use crossbeam_channel::{Receiver, Sender, TrySendError, bounded, unbounded};
 use lotussaddle_trunk::{Decoder, Message};
 
 /// Stack of each reader and writer thread.
@@ -34,8 +34,8 @@
 impl Default for Bounds {
     fn default() -> Self {
         Self {
-            queue: 4096,
-            inbox: 65_536,
+            queue: 16_384,
+            inbox: 16_384,
             write_within: Duration::from_secs(2),
             connect_within: Duration::from_millis(500),
         }
@@ -131,7 +131,8 @@
 
     /// Queues a message; false where the queue is full or the link gone.
     pub fn say(&mut self, token: Token, message: Message) -> bool {
-        self.open.get(&token).is_some_and(|open| open.to.try_send(message).is_ok())
+        let open = self.open.get(&token).filter(|open| open.to.len() < self.bounds.queue);
+        open.is_some_and(|open| open.to.send(message).is_ok())
     }
 
     /// From now on this link is written a byte at a time, so far apart; zero: as it comes.
@@ -181,7 +182,9 @@
 
 impl Maker {
     fn link(&self, token: Token) -> (Ends, Opened, Receiver<Message>) {
-        let (to, messages) = bounded(self.bounds.queue);
+        // Bounded by its one sender, in `Hub::say`: a bounded channel of this library holds all its slots from the
+        // start, half a megabyte a link.
+        let (to, messages) = unbounded();
         let opened =
             Opened { to, stream: None, gone: Arc::default(), abrupt: Arc::default(), drip: Arc::default() };
         let ends = Ends {
--- a/crates/standin/src/crowd.rs
+++ b/crates/standin/src/crowd.rs
@@ -121,6 +121,7 @@
     dues: BTreeMap<(Duration, u64), Due>,
     count: u64,
     dialled: u64,
+    stood: u64,
     /// Where first choices go now: a weight for each place in a product's choices.
     shift: u64,
 }
@@ -138,6 +139,7 @@
             dues: BTreeMap::new(),
             count: 0,
             dialled: 0,
+            stood: 0,
             shift: 0,
             figures,
         };
@@ -160,6 +162,11 @@
         self.calls.len()
     }
 
+    /// First dials, and dialogues that have stood.
+    pub fn totals(&self) -> (u64, u64) {
+        (self.dialled, self.stood)
+    }
+
     /// Dialogues that are asked for and not answered.
     pub fn asked(&self) -> usize {
         self.calls.values().filter(|call| call.stage == Stage::Asked).count()
@@ -215,6 +222,7 @@
                 let lasts = self.figures.products[call.caller.product].lasts.as_secs_f64();
                 let lasts = Exp::new(1.0 / lasts).map_or(lasts, |exp| exp.sample(&mut self.rng));
                 call.stage = Stage::Stands;
+                self.stood += 1;
                 call.hang_up_at = now + Duration::from_secs_f64(lasts);
                 let at = call.hang_up_at;
                 self.due(at, Due::HangUp(dialogue));
