--- a/crates/day/src/virt.rs
+++ b/crates/day/src/virt.rs
@@ -276,6 +276,8 @@
                 known.alarm(now, &mut Ends { nets: &mut self.nets, edge });
             }
         }
+        // Whoever is killed at this very moment has said it before.
+        self.settle();
         if self.world.next_due() <= self.now {
             self.world.alarm(self.now, &mut self.nets);
         }
--- a/crates/day/src/world.rs
+++ b/crates/day/src/world.rs
@@ -257,7 +257,7 @@
         self.add_pipe(link, Place::Callers, Some(edge));
         self.note(What::Up { edge, link, far: "callers".into() });
         let mut acts = Acts::default();
-        self.crowd.linked(edge, link, &mut acts);
+        self.crowd.linked(now, edge, link, &mut acts);
         self.carry_out(acts, ground);
     }
 
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -110,7 +110,7 @@
     pub fn connected(&mut self, now: Duration, link: LinkId, wires: &mut dyn Wires) {
         self.state.now = now;
         if self.state.links.contains_key(&link) {
-            let hello = Hello { version: VERSION, role: Role::Edge, name: self.name.clone() };
+            let hello = Hello::new(Role::Edge, self.name.clone());
             self.hands(wires).say(link, Frame::Hello(hello));
         }
         self.settle(wires);
@@ -181,7 +181,7 @@
         let wrong = match (&known.kind, hello.role) {
             _ if hello.version != VERSION => Some(format!("speaks version {}, not {VERSION}", hello.version)),
             (Kind::Fresh, Role::Caller) => {
-                known.kind = Kind::Caller(hello.name);
+                known.kind = Kind::Caller(hello.name.clone());
                 None
             }
             (Kind::Core(server), Role::Core) if server.0 != hello.name => {
@@ -194,10 +194,13 @@
             return self.drop_link(link, &wrong, wires);
         }
         known.greeted = true;
+        if let Some(sent_at) = hello.sent_at {
+            known.delay.of(self.state.now, sent_at);
+        }
         match &known.kind {
             Kind::Caller(_) => {
                 self.state.fresh.retain(|fresh| *fresh != link);
-                let hello = Hello { version: VERSION, role: Role::Edge, name: self.name.clone() };
+                let hello = Hello::new(Role::Edge, self.name.clone());
                 self.hands(wires).say(link, Frame::Hello(hello));
             }
             Kind::Core(server) => {
--- a/crates/judge/tests/doctored.rs
+++ b/crates/judge/tests/doctored.rs
@@ -302,6 +302,20 @@
     assert!(again.launch(9001, A, "d9", 0).refused(9100, "d9").found().is_empty());
 }
 
+#[test]
+fn rule_3_counts_from_when_a_proxy_that_stood_still_went_on() {
+    let at = |time: u64| {
+        let script = good().note(6000, What::Stalled { edge: 0 });
+        let script = script.list(6100, false, vec![entry("a", Listed::Leaving, 0)]).dial(6200, "d9");
+        let script = script.note(7500, What::Resumed { edge: 0 }).launch(time, A, "d9", 0);
+        // Rule 1 gives it time for an answer, too.
+        script.cancel(time + 10, A, "d9", 0).refused(time + 10, "d9").found()
+    };
+    assert!(at(9190).is_empty());
+    assert!(at(9490).iter().all(|(rule, _)| *rule != Rule::Drain));
+    assert!(at(9510).iter().any(|(rule, _)| *rule == Rule::Drain));
+}
+
 /// So many launches in a second to a server that started at 6 s, known or not.
 fn pressed(launches: u64, told: bool) -> Vec<(Rule, String)> {
     let mut script = good().note(6000, What::CoreStarted { server: "a".into(), life: 1 });
--- a/crates/standin/src/core.rs
+++ b/crates/standin/src/core.rs
@@ -250,7 +250,7 @@
             Frame::Pong { .. } => {}
             Frame::Hello(hello) if hello.role == Role::Edge && hello.version == VERSION => {
                 *greeted = true;
-                let hello = Hello { version: VERSION, role: Role::Core, name: self.figures.name.clone() };
+                let hello = Hello::new(Role::Core, self.figures.name.clone());
                 floor.say(link, Frame::Hello(hello).into());
             }
             Frame::Launch(launch) if *greeted => self.launched(now, link, launch, floor),
--- a/crates/standin/src/crowd.rs
+++ b/crates/standin/src/crowd.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use lotussaddle::interface::{DialledKey, DialogueId, ServerNumber};
-use lotussaddle_trunk::{Dial, End, Frame, Hello, Message, Role, VERSION};
+use lotussaddle_trunk::{Dial, End, Frame, Hello, Message, Role};
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, Exp};
 use rand_pcg::Pcg64Mcg;
@@ -183,9 +183,9 @@
 
     // Inputs
 
-    pub fn linked(&mut self, edge: usize, link: u64, floor: &mut dyn Floor) {
+    pub fn linked(&mut self, now: Duration, edge: usize, link: u64, floor: &mut dyn Floor) {
         self.edges.insert(link, edge);
-        let hello = Hello { version: VERSION, role: Role::Caller, name: self.figures.name.clone() };
+        let hello = Hello { sent_at: Some(now), ..Hello::new(Role::Caller, self.figures.name.clone()) };
         floor.say(link, Frame::Hello(hello).into());
     }
 
--- a/crates/standin/src/list.rs
+++ b/crates/standin/src/list.rs
@@ -58,7 +58,7 @@
             Frame::Ping { nonce } => floor.say(link, Frame::Pong { nonce }.into()),
             Frame::Hello(hello) if hello.role == Role::Edge && hello.version == VERSION => {
                 *greeted = true;
-                let hello = Hello { version: VERSION, role: Role::List, name: Arc::from("list") };
+                let hello = Hello::new(Role::List, Arc::from("list"));
                 floor.say(link, Frame::Hello(hello).into());
                 let all: Vec<Entry> = self.known.values().map(|l| entry(now, l)).collect();
                 for (place, piece) in all.chunks(PIECE).enumerate() {
--- a/crates/standin/src/shell.rs
+++ b/crates/standin/src/shell.rs
@@ -125,7 +125,7 @@
                 let begun = floor.begun.iter().position(|(known, _)| *known == token);
                 if let Some(place) = begun {
                     let (_, edge) = floor.begun.swap_remove(place);
-                    self.linked(edge, token.0, floor);
+                    self.linked(now, edge, token.0, floor);
                 }
             }
             Happening::Said(token, message) => self.heard(now, token.0, message, floor),
--- a/crates/trunk/src/codec.rs
+++ b/crates/trunk/src/codec.rs
@@ -199,6 +199,9 @@
     match frame {
         Frame::Hello(hello) => {
             to.whole(PROTOCOL, hello.version.into()).whole(ROLE, hello.role as u64).text(NAME, &hello.name);
+            if let Some(sent_at) = hello.sent_at {
+                to.time(SENT_AT, sent_at);
+            }
             HELLO
         }
         Frame::Ping { nonce } => {
@@ -471,6 +474,7 @@
             version: f.need(PROTOCOL, small)?,
             role: f.need(ROLE, one_of(ROLES))?,
             name: f.need(NAME, text)?,
+            sent_at: f.maybe(SENT_AT, time)?,
         }),
         PING => Frame::Ping { nonce: f.need(NONCE, whole)? },
         PONG => Frame::Pong { nonce: f.need(NONCE, whole)? },
--- a/crates/trunk/src/frame.rs
+++ b/crates/trunk/src/frame.rs
@@ -201,6 +201,16 @@
     pub version: u16,
     pub role: Role,
     pub name: Arc<str>,
+    /// As in a dial.
+    #[serde(default, skip_serializing_if = "Option::is_none", with = "texts::maybe_micros")]
+    pub sent_at: Option<Duration>,
+}
+
+impl Hello {
+    /// In the version that this build speaks.
+    pub fn new(role: Role, name: Arc<str>) -> Self {
+        Self { version: crate::VERSION, role, name, sent_at: None }
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
