A dial that lay in a socket has lost that time: scripted

A stall of 1.5 s before three dials of different age: the oldest is failed at once, the late one has 0.1 s left, the fresh one all of its second.

--- a/crates/edge/tests/hard_cases.rs
+++ b/crates/edge/tests/hard_cases.rs
@@ -340,6 +340,19 @@
     assert_snapshot!(b.trace());
 }
 
+#[test]
+fn a_dial_that_lay_in_a_socket_has_lost_that_time() {
+    let mut b = Bench::new("a");
+    b.edge.linked(ms(10), LinkId(101), &mut b.trace);
+    // By the caller's clock 500 ms later than here.
+    let hello = Hello { sent_at: Some(ms(509)), ..Hello::new(Role::Caller, Arc::from("x")) };
+    b.hears(LinkId(101), Frame::Hello(hello));
+    let sent = |name: &str, at: u64| Frame::Dial(Dial { sent_at: Some(ms(at)), ..dial(name, 0, 1000) });
+    b.stalls_until(1500).hears(LinkId(101), sent("gone", 600)).hears(LinkId(101), sent("late", 1400));
+    b.hears(LinkId(101), sent("fresh", 1999)).at(1600);
+    assert_snapshot!(b.trace());
+}
+
 #[test]
 fn a_caller_that_never_reads_loses_its_link_and_others_do_not_notice() {
     let mut b = Bench::new("a");
