--- /dev/null
+++ b/crates/store/src/format.rs
@@ -0,0 +1,218 @@
+//! Bytes on disk.
+//!
+//! A segment is a head and frames. The head: `LSTR`, version (u16), segment number (u64), CRC-32C of these (u32).
+//! A frame: length of its body (u32), CRC-32C (u32) over that length and the body, body. A body: its place in the log
+//! (segment u64, offset u64, so that a frame that lies where it was not written is none), how much of this segment was
+//! known to last when it was written (u64), the store's time (u64 microseconds), then operations: a tag (1 put, 2
+//! delete, 3 floor, 4 next); for put and delete table (u8 length) and key (u16 length); for a put when it expires (u64
+//! microseconds, all ones for never) and the value (u32 length); for a floor a segment number (u64): older ones are
+//! needed no more; for a next one, too: the log goes on there, and nothing follows here; last the CRC-32C (u32) of the operation, so that one can be read by itself. All numbers
+//! little-endian. A frame without operations is a seal: it only says what lasts.
+
+use std::time::Duration;
+
+pub const VERSION: u16 = 1;
+pub const MAX_TABLE: usize = 32;
+pub const MAX_KEY: usize = 1024;
+pub const MAX_VALUE: usize = 1024 * 1024;
+/// Bytes of one batch.
+pub const MAX_BATCH: usize = 4 * 1024 * 1024;
+
+pub const HEAD: u64 = 18;
+const MAGIC: &[u8; 4] = b"LSTR";
+/// Length and checksum.
+pub const FRAME: u64 = 8;
+/// Segment, offset, what lasts, time.
+const PREFACE: usize = 32;
+const NEVER: u64 = u64::MAX;
+
+pub fn segment_name(number: u64) -> String {
+    format!("log-{number:016x}")
+}
+
+pub fn segment_number(name: &str) -> Option<u64> {
+    u64::from_str_radix(name.strip_prefix("log-").filter(|n| n.len() == 16)?, 16).ok()
+}
+
+pub fn head(number: u64) -> Vec<u8> {
+    let mut bytes = MAGIC.to_vec();
+    bytes.extend(VERSION.to_le_bytes());
+    bytes.extend(number.to_le_bytes());
+    let sum = crc32c::crc32c(&bytes);
+    bytes.extend(sum.to_le_bytes());
+    bytes
+}
+
+/// What is wrong with a head.
+pub enum BadHead {
+    /// Not whole, or not a head.
+    Unreadable,
+    Newer(u16),
+}
+
+pub fn read_head(bytes: &[u8], number: u64) -> Result<(), BadHead> {
+    let bytes = bytes.get(..HEAD as usize).ok_or(BadHead::Unreadable)?;
+    let sum = u32::from_le_bytes(bytes[14..].try_into().expect("four bytes"));
+    let whole = crc32c::crc32c(&bytes[..14]) == sum && &bytes[..4] == MAGIC;
+    let version = u16::from_le_bytes(bytes[4..6].try_into().expect("two bytes"));
+    if whole && version > VERSION {
+        return Err(BadHead::Newer(version));
+    }
+    if whole && bytes[6..14] == number.to_le_bytes() { Ok(()) } else { Err(BadHead::Unreadable) }
+}
+
+/// One operation, and where its value stands in the frame's body.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Op<'a> {
+    Put { table: &'a str, key: &'a [u8], expires: Option<Duration>, value: &'a [u8] },
+    Delete { table: &'a str, key: &'a [u8] },
+    Floor { segment: u64 },
+    Next { segment: u64 },
+}
+
+fn sealed(out: &mut Vec<u8>, from: usize) {
+    let sum = crc32c::crc32c(&out[from..]);
+    out.extend(sum.to_le_bytes());
+}
+
+pub fn floor(out: &mut Vec<u8>, segment: u64) {
+    bare(out, 3, segment);
+}
+
+pub fn next(out: &mut Vec<u8>, segment: u64) {
+    bare(out, 4, segment);
+}
+
+fn bare(out: &mut Vec<u8>, tag: u8, segment: u64) {
+    let from = out.len();
+    out.push(tag);
+    out.extend(segment.to_le_bytes());
+    sealed(out, from);
+}
+
+pub fn put(out: &mut Vec<u8>, table: &str, key: &[u8], expires: Option<Duration>, value: &[u8]) {
+    let from = out.len();
+    out.push(1);
+    name(out, table, key);
+    let expires = expires.map_or(NEVER, |t| (t.as_micros() as u64).min(NEVER - 1));
+    out.extend(expires.to_le_bytes());
+    out.extend((value.len() as u32).to_le_bytes());
+    out.extend(value);
+    sealed(out, from);
+}
+
+pub fn delete(out: &mut Vec<u8>, table: &str, key: &[u8]) {
+    let from = out.len();
+    out.push(2);
+    name(out, table, key);
+    sealed(out, from);
+}
+
+fn name(out: &mut Vec<u8>, table: &str, key: &[u8]) {
+    out.push(table.len() as u8);
+    out.extend(table.as_bytes());
+    out.extend((key.len() as u16).to_le_bytes());
+    out.extend(key);
+}
+
+/// A frame of these operations for this place.
+pub fn frame(segment: u64, offset: u64, lasts: u64, time: Duration, ops: &[u8]) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(FRAME as usize + PREFACE + ops.len());
+    bytes.extend(((PREFACE + ops.len()) as u32).to_le_bytes());
+    bytes.extend([0; 4]);
+    bytes.extend(segment.to_le_bytes());
+    bytes.extend(offset.to_le_bytes());
+    bytes.extend(lasts.to_le_bytes());
+    bytes.extend((time.as_micros() as u64).to_le_bytes());
+    bytes.extend(ops);
+    let sum = sum(&bytes);
+    bytes[4..8].copy_from_slice(&sum.to_le_bytes());
+    bytes
+}
+
+/// Over the length too: a changed length must not make another frame of it.
+fn sum(frame: &[u8]) -> u32 {
+    crc32c::crc32c_append(crc32c::crc32c(&frame[..4]), &frame[8..])
+}
+
+/// A whole frame: its bytes, what it says lasts, its operations.
+pub struct Frame<'a> {
+    pub len: u64,
+    pub lasts: u64,
+    pub time: Duration,
+    pub ops: &'a [u8],
+}
+
+/// The frame at this offset of a segment whose bytes from there on are given; none where none stands.
+pub fn read_frame(bytes: &[u8], segment: u64, offset: u64) -> Option<Frame<'_>> {
+    let len = u32::from_le_bytes(bytes.get(..4)?.try_into().ok()?) as usize;
+    if !(PREFACE..=PREFACE + MAX_BATCH).contains(&len) {
+        return None;
+    }
+    let whole = bytes.get(..FRAME as usize + len)?;
+    let number = |at: usize| u64::from_le_bytes(whole[at..at + 8].try_into().expect("eight bytes"));
+    if number(8) != segment || number(16) != offset {
+        return None;
+    }
+    if sum(whole) != u32::from_le_bytes(whole[4..8].try_into().ok()?) {
+        return None;
+    }
+    let (lasts, time) = (number(24), Duration::from_micros(number(32)));
+    Some(Frame { len: whole.len() as u64, lasts, time, ops: &whole[OPS_AT as usize..] })
+}
+
+/// Where the operations of a frame begin, from its own beginning.
+pub const OPS_AT: u64 = FRAME + PREFACE as u64;
+
+/// Each operation with where it begins and how long it is. A frame whose checksum holds and whose operations cannot be
+/// read was written by something else: the rest is not guessed at.
+pub fn ops(mut bytes: &[u8]) -> Option<Vec<(u64, u64, Op<'_>)>> {
+    let all = bytes.len();
+    let mut found = Vec::new();
+    while !bytes.is_empty() {
+        let at = all - bytes.len();
+        let (op, rest) = op(bytes)?;
+        found.push((at as u64, (bytes.len() - rest.len()) as u64, op));
+        bytes = rest;
+    }
+    Some(found)
+}
+
+fn take(bytes: &[u8], n: usize) -> Option<(&[u8], &[u8])> {
+    bytes.split_at_checked(n)
+}
+
+/// The operation at the beginning of these bytes, and what follows it; none where its checksum does not hold.
+pub fn op(bytes: &[u8]) -> Option<(Op<'_>, &[u8])> {
+    let (op, rest) = bare_op(bytes)?;
+    let (sum, after) = take(rest, 4)?;
+    let whole = crc32c::crc32c(&bytes[..bytes.len() - rest.len()]);
+    (whole == u32::from_le_bytes(sum.try_into().ok()?)).then_some((op, after))
+}
+
+fn bare_op(bytes: &[u8]) -> Option<(Op<'_>, &[u8])> {
+    let (tag, rest) = take(bytes, 1)?;
+    if tag[0] == 3 || tag[0] == 4 {
+        let (segment, rest) = take(rest, 8)?;
+        let segment = u64::from_le_bytes(segment.try_into().ok()?);
+        let op = if tag[0] == 3 { Op::Floor { segment } } else { Op::Next { segment } };
+        return Some((op, rest));
+    }
+    let (len, rest) = take(rest, 1)?;
+    let (table, rest) = take(rest, len[0] as usize)?;
+    let (len, rest) = take(rest, 2)?;
+    let (key, rest) = take(rest, u16::from_le_bytes(len.try_into().ok()?) as usize)?;
+    let table = std::str::from_utf8(table).ok()?;
+    match tag[0] {
+        1 => {
+            let (expires, rest) = take(rest, 8)?;
+            let expires = u64::from_le_bytes(expires.try_into().ok()?);
+            let expires = Some(expires).filter(|e| *e != NEVER).map(Duration::from_micros);
+            let (len, rest) = take(rest, 4)?;
+            let (value, rest) = take(rest, u32::from_le_bytes(len.try_into().ok()?) as usize)?;
+            Some((Op::Put { table, key, expires, value }, rest))
+        }
+        2 => Some((Op::Delete { table, key }, rest)),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/store/src/plan.rs
@@ -0,0 +1,87 @@
+//! What to do when: rotate, compact, take a snapshot. No I/O and no clock.
+
+/// The store's own limits.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// A segment that has grown beyond this is closed and another begun, in bytes.
+    pub segment: u64,
+    /// Compaction begins when the log is so many times what is live ...
+    pub space: f64,
+    /// ... and at least so large, in bytes.
+    pub least: u64,
+    /// A snapshot is taken when so many bytes were written since the last, and no fewer than are live.
+    pub snapshot: u64,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self { segment: 4 << 20, space: 1.7, least: 8 << 20, snapshot: 16 << 20 }
+    }
+}
+
+/// How things stand.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Figures {
+    /// Bytes of all segments, and of the records in them that are live.
+    pub written: u64,
+    pub live: u64,
+    pub segments: usize,
+    /// Bytes in the oldest segment, and live ones there.
+    pub oldest: u64,
+    pub oldest_live: u64,
+    pub since_snapshot: u64,
+}
+
+impl Plan {
+    /// The oldest segment is taken: all of it may be dead, which costs nothing to see, and a deletion in it can
+    /// never be needed again, since nothing older is left that it would hide.
+    pub fn compacts(&self, figures: &Figures) -> bool {
+        let crowded =
+            figures.written as f64 > figures.live as f64 * self.space && figures.written > self.least;
+        figures.segments > 1 && (figures.oldest_live == 0 || crowded)
+    }
+
+    pub fn takes_snapshot(&self, figures: &Figures) -> bool {
+        figures.since_snapshot > self.snapshot.max(figures.live / 2)
+    }
+
+    pub fn rotates(&self, segment: u64) -> bool {
+        segment >= self.segment
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const PLAN: Plan = Plan { segment: 100, space: 2.0, least: 50, snapshot: 1000 };
+
+    #[test]
+    fn the_oldest_goes_when_it_is_dead_or_room_is_short() {
+        let figures = |written, live, segments, oldest_live| Figures {
+            written,
+            live,
+            segments,
+            oldest: 100,
+            oldest_live,
+            since_snapshot: 0,
+        };
+        for (figures, compacts) in [
+            (figures(300, 200, 3, 50), false),
+            (figures(300, 140, 3, 50), true),
+            (figures(300, 299, 3, 0), true),
+            (figures(49, 1, 2, 1), false),
+            // The one that is written to is never taken.
+            (figures(300, 0, 1, 0), false),
+        ] {
+            assert_eq!(PLAN.compacts(&figures), compacts, "{figures:?}");
+        }
+    }
+
+    #[test]
+    fn a_snapshot_is_not_taken_more_often_than_it_is_worth() {
+        let figures = |live, since_snapshot| Figures { live, since_snapshot, ..Figures::default() };
+        assert!(!PLAN.takes_snapshot(&figures(0, 1000)) && PLAN.takes_snapshot(&figures(0, 1001)));
+        assert!(!PLAN.takes_snapshot(&figures(10_000, 5000)) && PLAN.takes_snapshot(&figures(10_000, 5001)));
+    }
+}
--- /dev/null
+++ b/crates/store/src/sim.rs
@@ -0,0 +1,274 @@
+//! A disk that fails as disks do, by seed.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::disk::Disk;
+
+/// What goes wrong. Steps are counted over all operations that change something.
+#[derive(Clone, Debug, Default)]
+pub struct Faults {
+    /// Power goes before this step, or in the middle of a write.
+    pub power_at: Option<u64>,
+    /// These steps fail; a write that fails leaves part of itself.
+    pub fail_at: BTreeSet<u64>,
+    /// Bytes that the disk holds.
+    pub room: Option<u64>,
+}
+
+#[derive(Clone, Default)]
+struct File {
+    now: Vec<u8>,
+    /// What is there when power comes back, as of the last sync.
+    lasting: Vec<u8>,
+}
+
+/// Files in memory. After power is lost every operation fails until `restart`.
+#[derive(Clone)]
+pub struct SimDisk {
+    files: BTreeMap<String, File>,
+    /// Which names last, and what each stood for.
+    names: BTreeMap<String, File>,
+    pub faults: Faults,
+    pub steps: u64,
+    rng: Pcg64Mcg,
+    out: bool,
+    locked: bool,
+    /// Whether a sync of the folder does anything: to show what its absence costs.
+    pub syncs_names: bool,
+}
+
+fn broken(what: &str) -> io::Error {
+    io::Error::other(what.to_string())
+}
+
+impl SimDisk {
+    pub fn new(seed: u64) -> Self {
+        Self {
+            files: BTreeMap::new(),
+            names: BTreeMap::new(),
+            faults: Faults::default(),
+            steps: 0,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            out: false,
+            locked: false,
+            syncs_names: true,
+        }
+    }
+
+    /// The process ends and another one starts; what it wrote is there.
+    pub fn restart(&mut self) {
+        (self.out, self.locked) = (false, false);
+        self.faults = Faults::default();
+        self.steps = 0;
+    }
+
+    /// Power is lost and comes back. What was not synced is there or not, by pieces, in no order; names that were
+    /// not synced are as they were or as they became, each by itself.
+    pub fn lose_power(&mut self) {
+        let rng = &mut self.rng;
+        let mut after = BTreeMap::new();
+        let all: BTreeSet<String> = self.files.keys().chain(self.names.keys()).cloned().collect();
+        for name in all {
+            let (now, then) = (self.files.get(&name), self.names.get(&name));
+            let kept = match (now, then) {
+                (Some(now), Some(_)) => Some(now.clone()),
+                (Some(now), None) => rng.random::<bool>().then(|| now.clone()),
+                (None, Some(then)) => rng.random::<bool>().then(|| then.clone()),
+                (None, None) => None,
+            };
+            if let Some(file) = kept {
+                let contents = Self::torn(&file, rng);
+                after.insert(name, File { now: contents.clone(), lasting: contents });
+            }
+        }
+        self.names = after.clone();
+        self.files = after;
+        self.restart();
+    }
+
+    /// Pieces of what was written since the last sync, some there, some not.
+    fn torn(file: &File, rng: &mut Pcg64Mcg) -> Vec<u8> {
+        let common = file.now.iter().zip(&file.lasting).take_while(|(a, b)| a == b).count();
+        if common == file.now.len() && common == file.lasting.len() {
+            return file.now.clone();
+        }
+        match rng.random_range(0..4) {
+            0 => file.lasting.clone(),
+            1 => file.now.clone(),
+            2 => {
+                // Cut at any byte.
+                let end = rng.random_range(common..=file.now.len());
+                file.now[..end].to_vec()
+            }
+            _ => {
+                // Its length is there and some pages of it are not.
+                let mut contents = file.now.clone();
+                let page = rng.random_range(1..64usize);
+                let mut at = common;
+                while at < contents.len() {
+                    let end = (at + page).min(contents.len());
+                    if rng.random::<bool>() {
+                        contents[at..end].fill(0);
+                    }
+                    at = end;
+                }
+                contents
+            }
+        }
+    }
+
+    /// A step that changes something.
+    fn step(&mut self) -> io::Result<bool> {
+        if self.out {
+            return Err(broken("power is out"));
+        }
+        self.steps += 1;
+        if self.faults.power_at.is_some_and(|at| self.steps > at) {
+            self.out = true;
+            return Err(broken("power is out"));
+        }
+        Ok(self.faults.fail_at.contains(&self.steps))
+    }
+
+    pub fn is_out(&self) -> bool {
+        self.out
+    }
+
+    /// The bytes of a file, to be looked at or spoilt.
+    pub fn contents(&self, name: &str) -> Option<&[u8]> {
+        self.files.get(name).map(|file| file.now.as_slice())
+    }
+
+    pub fn spoil(&mut self, name: &str, contents: Vec<u8>) {
+        let file = File { now: contents.clone(), lasting: contents };
+        self.files.insert(name.into(), file.clone());
+        self.names.insert(name.into(), file);
+    }
+
+    pub fn all_names(&self) -> Vec<String> {
+        self.files.keys().cloned().collect()
+    }
+
+    fn file(&mut self, name: &str) -> io::Result<&mut File> {
+        if self.out {
+            return Err(broken("power is out"));
+        }
+        self.files.get_mut(name).ok_or_else(|| io::Error::from(io::ErrorKind::NotFound))
+    }
+}
+
+impl Disk for SimDisk {
+    fn lock(&mut self) -> io::Result<()> {
+        if std::mem::replace(&mut self.locked, true) {
+            return Err(io::ErrorKind::WouldBlock.into());
+        }
+        Ok(())
+    }
+
+    fn names(&mut self) -> io::Result<Vec<String>> {
+        if self.out {
+            return Err(broken("power is out"));
+        }
+        Ok(self.all_names())
+    }
+
+    fn len(&mut self, name: &str) -> io::Result<u64> {
+        Ok(self.file(name)?.now.len() as u64)
+    }
+
+    fn create(&mut self, name: &str) -> io::Result<()> {
+        if self.step()? {
+            return Err(broken("it failed"));
+        }
+        if self.files.contains_key(name) {
+            return Err(io::ErrorKind::AlreadyExists.into());
+        }
+        self.files.insert(name.into(), File::default());
+        Ok(())
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        let used: u64 = self.files.values().map(|file| file.now.len() as u64).sum();
+        let room = self.faults.room.map_or(u64::MAX, |room| room.saturating_sub(used));
+        let power_before = self.out;
+        let (fails, out) = match self.step() {
+            Ok(fails) => (fails, false),
+            Err(error) if power_before => return Err(error),
+            Err(_) => (true, true),
+        };
+        let part = if fails { self.rng.random_range(0..=bytes.len()) } else { bytes.len() };
+        let part = part.min(room.min(bytes.len() as u64) as usize);
+        let file = self.files.get_mut(name).ok_or_else(|| io::Error::from(io::ErrorKind::NotFound))?;
+        file.now.extend_from_slice(&bytes[..part]);
+        if out {
+            return Err(broken("power is out"));
+        }
+        if fails {
+            return Err(broken("it failed"));
+        }
+        if part < bytes.len() {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        Ok(())
+    }
+
+    fn read(&mut self, name: &str, at: u64, buffer: &mut [u8]) -> io::Result<()> {
+        let file = self.file(name)?;
+        let end = (at as usize).checked_add(buffer.len()).filter(|end| *end <= file.now.len());
+        let end = end.ok_or_else(|| io::Error::from(io::ErrorKind::UnexpectedEof))?;
+        buffer.copy_from_slice(&file.now[at as usize..end]);
+        Ok(())
+    }
+
+    fn truncate(&mut self, name: &str, len: u64) -> io::Result<()> {
+        if self.step()? {
+            return Err(broken("it failed"));
+        }
+        self.file(name)?.now.truncate(len as usize);
+        Ok(())
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        if self.step()? {
+            return Err(broken("it failed"));
+        }
+        let file = self.file(name)?;
+        file.lasting = file.now.clone();
+        let file = file.clone();
+        // A name that lasts stands for this file's contents.
+        if let Some(known) = self.names.get_mut(name) {
+            *known = file;
+        }
+        Ok(())
+    }
+
+    fn sync_names(&mut self) -> io::Result<()> {
+        if self.step()? {
+            return Err(broken("it failed"));
+        }
+        if self.syncs_names {
+            self.names = self.files.clone();
+        }
+        Ok(())
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        if self.step()? {
+            return Err(broken("it failed"));
+        }
+        let file = self.files.remove(from).ok_or_else(|| io::Error::from(io::ErrorKind::NotFound))?;
+        self.files.insert(to.into(), file);
+        Ok(())
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        if self.step()? {
+            return Err(broken("it failed"));
+        }
+        self.files.remove(name).map(drop).ok_or_else(|| io::ErrorKind::NotFound.into())
+    }
+}
--- /dev/null
+++ b/crates/store/src/snapshot.rs
@@ -0,0 +1,84 @@
+//! The index as it was at a place of the log, in one checksummed file: reopening reads that and the log behind it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::index::{Index, Place};
+use crate::store::Segment;
+
+const MAGIC: &[u8; 4] = b"LSNP";
+const VERSION: u16 = 1;
+
+/// A snapshot that could be read.
+pub struct Snapshot {
+    /// The log up to here is in it.
+    pub segment: u64,
+    pub offset: u64,
+    pub floor: u64,
+    pub time: Duration,
+    pub segments: BTreeMap<u64, Segment>,
+    pub index: Index,
+}
+
+pub fn name(number: u64) -> String {
+    format!("snap-{number:016x}")
+}
+
+pub fn number(name: &str) -> Option<u64> {
+    u64::from_str_radix(name.strip_prefix("snap-").filter(|n| n.len() == 16)?, 16).ok()
+}
+
+/// The bytes of a snapshot file; its checksum is at the end.
+pub fn write(
+    at: (u64, u64), floor: u64, time: Duration, segments: &BTreeMap<u64, Segment>, index: &Index,
+) -> Vec<u8> {
+    let mut out = MAGIC.to_vec();
+    out.extend(VERSION.to_le_bytes());
+    let mut put = |number: u64| out.extend(number.to_le_bytes());
+    for number in [at.0, at.1, floor, time.as_micros() as u64, index.secret.0, index.secret.1] {
+        put(number);
+    }
+    put(segments.len() as u64);
+    for (number, segment) in segments {
+        for figure in [*number, segment.len, segment.live, segment.until] {
+            put(figure);
+        }
+    }
+    put(index.len() as u64);
+    for (print, place) in index.all() {
+        put(print);
+        put(place.segment);
+        put(u64::from(place.offset) | u64::from(place.len) << 32);
+    }
+    let sum = crc32c::crc32c(&out);
+    out.extend(sum.to_le_bytes());
+    out
+}
+
+/// None where it is not whole: the log has it all, and is read instead.
+pub fn read(bytes: &[u8]) -> Option<Snapshot> {
+    let (body, sum) = bytes.split_at_checked(bytes.len().checked_sub(4)?)?;
+    let whole = crc32c::crc32c(body) == u32::from_le_bytes(sum.try_into().ok()?);
+    if !whole || body.get(..4)? != MAGIC || body.get(4..6)? != VERSION.to_le_bytes() {
+        return None;
+    }
+    let mut rest = body[6..].chunks_exact(8).map(|n| u64::from_le_bytes(n.try_into().expect("eight bytes")));
+    let mut next = || rest.next();
+    let (segment, offset, floor, time) = (next()?, next()?, next()?, Duration::from_micros(next()?));
+    let secret = (next()?, next()?);
+    let mut segments = BTreeMap::new();
+    for _ in 0..next()? {
+        let (number, len, live, until) = (next()?, next()?, next()?, next()?);
+        segments.insert(number, Segment { len, live, until });
+    }
+    let count = next()?;
+    if count > body.len() as u64 / 24 {
+        return None;
+    }
+    let mut index = Index::new(secret, count as usize);
+    for _ in 0..count {
+        let (print, segment, rest) = (next()?, next()?, next()?);
+        index.add(print, Place { segment, offset: rest as u32, len: (rest >> 32) as u32 });
+    }
+    Some(Snapshot { segment, offset, floor, time, segments, index })
+}
--- /dev/null
+++ b/crates/store/src/store.rs
@@ -0,0 +1,734 @@
+//! The store: writing, reading, reopening, and work that may wait.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::time::Duration;
+
+use thiserror::Error;
+
+use crate::disk::Disk;
+use crate::format::{self, HEAD, MAX_BATCH, MAX_KEY, MAX_TABLE, MAX_VALUE, OPS_AT, Op};
+use crate::index::{Index, Place};
+use crate::plan::{Figures, Plan};
+use crate::snapshot::{self, Snapshot};
+use crate::worth::{self, Worth};
+
+/// What an acknowledged write survives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// The process being killed; not the machine losing power.
+    Written,
+    /// Power lost, too: it has been synced.
+    Synced,
+}
+
+/// Where a store is damaged.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Damage {
+    pub file: String,
+    pub offset: u64,
+    pub what: String,
+}
+
+#[derive(Debug, Error)]
+pub enum StoreError {
+    #[error("{}: damaged at byte {}: {}", .0.file, .0.offset, .0.what)]
+    Damaged(Damage),
+    #[error("{file}: written by format version {found}, this program reads up to {}", format::VERSION)]
+    Newer { file: String, found: u16 },
+    #[error("it is open elsewhere")]
+    Locked,
+    #[error("it takes no more writes: {0}")]
+    Closed(String),
+    #[error("{0}")]
+    TooLarge(&'static str),
+    #[error("{what}: {error}")]
+    Disk { what: String, error: io::Error },
+}
+
+type Result<T> = std::result::Result<T, StoreError>;
+
+fn at<T>(what: &str, name: &str, result: io::Result<T>) -> Result<T> {
+    result.map_err(|error| StoreError::Disk { what: format!("cannot {what} {name}"), error })
+}
+
+fn missing(segment: u64) -> StoreError {
+    let file = format::segment_name(segment);
+    StoreError::Damaged(Damage { file, offset: 0, what: "the segment is missing".into() })
+}
+
+/// Changes that are made together or not at all.
+#[derive(Clone, Debug, Default)]
+pub struct Batch {
+    ops: Vec<u8>,
+    wrong: Option<&'static str>,
+}
+
+impl Batch {
+    pub fn put(&mut self, table: &str, key: &[u8], expires: Option<Duration>, value: &[u8]) -> &mut Self {
+        self.check(table, key, value.len());
+        if self.wrong.is_none() {
+            format::put(&mut self.ops, table, key, expires, value);
+        }
+        self
+    }
+
+    pub fn delete(&mut self, table: &str, key: &[u8]) -> &mut Self {
+        self.check(table, key, 0);
+        if self.wrong.is_none() {
+            format::delete(&mut self.ops, table, key);
+        }
+        self
+    }
+
+    fn check(&mut self, table: &str, key: &[u8], value: usize) {
+        if table.is_empty() || table.len() > MAX_TABLE {
+            self.wrong = Some("a table's name has 1 to 32 bytes");
+        } else if key.len() > MAX_KEY {
+            self.wrong = Some("a key has 1024 bytes at most");
+        } else if value > MAX_VALUE {
+            self.wrong = Some("a value has a MiB at most");
+        } else if self.ops.len() + table.len() + key.len() + value + 64 > MAX_BATCH {
+            self.wrong = Some("a batch has 4 MiB at most");
+        }
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.ops.is_empty()
+    }
+
+    pub fn size(&self) -> usize {
+        self.ops.len()
+    }
+
+    /// Two batches made one, which is whole or absent as such.
+    pub fn join(&mut self, other: &Self) {
+        self.wrong = self.wrong.or(other.wrong);
+        if self.ops.len() + other.ops.len() > MAX_BATCH {
+            self.wrong = self.wrong.or(Some("a batch has 4 MiB at most"));
+        } else {
+            self.ops.extend_from_slice(&other.ops);
+        }
+    }
+}
+
+/// A record as it is found.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Found {
+    pub value: Vec<u8>,
+    pub expires: Option<Duration>,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Segment {
+    pub len: u64,
+    /// Bytes of operations in it that are still the newest of their keys.
+    pub live: u64,
+    /// In microseconds: by then all that was put into it has expired; all ones: never.
+    pub until: u64,
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Stats {
+    pub records: usize,
+    pub figures: Figures,
+    pub index_bytes: usize,
+    pub next_segment: u64,
+    /// Bytes of the log that were read when it was opened, snapshots not counted.
+    pub replayed: u64,
+}
+
+/// Compaction of the oldest segment, under way.
+struct Moving {
+    segment: u64,
+    bytes: Vec<u8>,
+    /// The next frame to look at, and the operation in it.
+    at: u64,
+}
+
+/// A snapshot being written.
+struct Writing {
+    name: String,
+    bytes: Vec<u8>,
+    done: usize,
+}
+
+pub struct Store<D> {
+    disk: D,
+    plan: Plan,
+    index: Index,
+    segments: BTreeMap<u64, Segment>,
+    /// The segment that is written to.
+    last: u64,
+    /// How much of it lasts.
+    lasts: u64,
+    floor: u64,
+    /// The latest time it has seen; a clock that goes back does not bring anything back to life.
+    time: Duration,
+    closed: Option<String>,
+    since_snapshot: u64,
+    next_snapshot: u64,
+    moving: Option<Moving>,
+    writing: Option<Writing>,
+    replayed: u64,
+}
+
+impl<D: Disk> Store<D> {
+    /// Opens a store, makes a new one where there is none, and mends what a crash left half done. What was promised
+    /// and cannot be read is refused, with its place.
+    pub fn open(mut disk: D, plan: Plan) -> Result<Self> {
+        disk.lock().map_err(|error| match error.kind() {
+            io::ErrorKind::WouldBlock => StoreError::Locked,
+            _ => StoreError::Disk { what: "cannot lock it".into(), error },
+        })?;
+        let names = at("list", "its files", disk.names())?;
+        for name in names.iter().filter(|name| name.ends_with(".new")) {
+            at("remove", name, disk.remove(name))?;
+        }
+        let mut store = Self {
+            disk,
+            plan,
+            index: Index::default(),
+            segments: BTreeMap::new(),
+            last: 0,
+            lasts: 0,
+            floor: 0,
+            time: Duration::ZERO,
+            closed: None,
+            since_snapshot: 0,
+            next_snapshot: 0,
+            moving: None,
+            writing: None,
+            replayed: 0,
+        };
+        store.recover(&names)?;
+        Ok(store)
+    }
+
+    fn recover(&mut self, names: &[String]) -> Result<()> {
+        let mut there: Vec<u64> = names.iter().filter_map(|name| format::segment_number(name)).collect();
+        there.sort_unstable();
+        let mut from = (0, 0);
+        let mut snapshots: Vec<u64> = names.iter().filter_map(|name| snapshot::number(name)).collect();
+        snapshots.sort_unstable();
+        self.next_snapshot = snapshots.last().map_or(0, |last| last + 1);
+        for number in snapshots.iter().rev() {
+            let bytes = self.read_all(&snapshot::name(*number))?;
+            if let Some(found) = snapshot::read(&bytes) {
+                let Snapshot { segment, offset, floor, time, segments, index } = found;
+                (self.floor, self.time, self.index) = (floor, time, index);
+                self.segments = segments;
+                self.segments.retain(|number, _| there.contains(number));
+                from = (segment, offset);
+                break;
+            }
+        }
+        // The newest segment may have been begun and never used.
+        while let Some(last) = there.last().copied() {
+            let (worth, frames, _) = self.look(last, if last == from.0 { from.1 } else { 0 })?;
+            let empty = worth == Worth::Unborn || frames == 0 && worth == Worth::Whole;
+            // Once the one before it has named it, it lasts, used or not; so does one that a snapshot knows.
+            let named = there.len() > 1 && self.look(last - 1, 0)?.2 || last == from.0 && from.1 > 0;
+            if !empty || named || there.len() == 1 && worth != Worth::Unborn {
+                break;
+            }
+            let name = format::segment_name(last);
+            at("remove", &name, self.disk.remove(&name))?;
+            at("sync", "the folder", self.disk.sync_names())?;
+            there.pop();
+        }
+        if !snapshots.is_empty() && there.last().is_none_or(|last| *last < from.0) {
+            return Err(missing(from.0));
+        }
+        for number in there.iter().copied().filter(|number| *number >= from.0) {
+            let start = if number == from.0 { from.1 } else { 0 };
+            self.replay(number, start, Some(number) == there.last().copied())?;
+        }
+        self.settle_floor(&there)?;
+        self.last = there.last().copied().unwrap_or_default();
+        if there.is_empty() {
+            self.begin_segment(self.floor)?;
+        } else {
+            // What was read is what others will be promised: it must last before anything follows it.
+            let name = format::segment_name(self.last);
+            at("sync", &name, self.disk.sync(&name))?;
+            at("sync", "the folder", self.disk.sync_names())?;
+            self.lasts = self.segments.get(&self.last).map_or(0, |segment| segment.len);
+        }
+        Ok(())
+    }
+
+    /// What a segment is worth as the last one, how many frames it has, and whether it names the next.
+    fn look(&mut self, number: u64, from: u64) -> Result<(Worth, usize, bool)> {
+        let name = format::segment_name(number);
+        if at("list", "its files", self.disk.names())?.iter().all(|known| *known != name) {
+            return Err(missing(number));
+        }
+        let bytes = self.read_all(&name)?;
+        let (mut frames, mut goes_on) = (0, false);
+        let worth = worth::judge(&bytes, number, from, true, |_, frame| {
+            frames += 1;
+            goes_on = worth::names_next(&frame, number);
+        });
+        Ok((worth, frames, goes_on))
+    }
+
+    /// Segments that are needed no more go; one that is needed and missing is damage.
+    fn settle_floor(&mut self, there: &[u64]) -> Result<()> {
+        let floor = self.floor;
+        for number in there.iter().copied().filter(|number| *number < floor) {
+            let name = format::segment_name(number);
+            at("remove", &name, self.disk.remove(&name))?;
+        }
+        let dead: Vec<(u64, Place)> = self.index.all().filter(|(_, place)| place.segment < floor).collect();
+        for (print, place) in dead {
+            self.index.remove(print, place);
+        }
+        self.segments.retain(|number, _| *number >= floor);
+        let last = there.last().copied().unwrap_or(floor);
+        let absent = (floor..=last).find(|number| !there.contains(number));
+        absent.filter(|_| !there.is_empty() || floor > 0).map_or(Ok(()), |number| Err(missing(number)))
+    }
+
+    fn read_all(&mut self, name: &str) -> Result<Vec<u8>> {
+        let len = at("read", name, self.disk.len(name))?;
+        let mut bytes = vec![0; len as usize];
+        at("read", name, self.disk.read(name, 0, &mut bytes))?;
+        Ok(bytes)
+    }
+
+    fn replay(&mut self, number: u64, from: u64, is_last: bool) -> Result<()> {
+        let name = format::segment_name(number);
+        let bytes = self.read_all(&name)?;
+        self.replayed += (bytes.len() as u64).saturating_sub(from);
+        let segment = self.segments.entry(number).or_default();
+        segment.len = segment.len.max(HEAD);
+        let mut frames = Vec::new();
+        let worth = worth::judge(&bytes, number, from, is_last, |at, frame| frames.push((at, frame)));
+        let damaged = |offset: u64, what: &str| {
+            Err(StoreError::Damaged(Damage { file: name.clone(), offset, what: what.into() }))
+        };
+        match worth {
+            Worth::Whole => {}
+            Worth::Torn { at: end } => {
+                at("cut", &name, self.disk.truncate(&name, end))?;
+                at("sync", &name, self.disk.sync(&name))?;
+            }
+            Worth::Rotten { at } => return damaged(at, "what was written there cannot be read"),
+            Worth::Newer { version } => return Err(StoreError::Newer { file: name, found: version }),
+            Worth::Unborn => return damaged(0, "its head cannot be read"),
+        }
+        let goes_on = frames.last().is_some_and(|(_, frame)| worth::names_next(frame, number));
+        if !goes_on && !is_last {
+            return damaged(bytes.len() as u64, "it ends without naming the next segment");
+        }
+        if goes_on && is_last {
+            return Err(missing(number + 1));
+        }
+        for (at, frame) in frames {
+            let Some(ops) = format::ops(frame.ops) else {
+                return damaged(at, "its checksum holds and its operations cannot be read");
+            };
+            for (offset, len, op) in ops {
+                let place = Place { segment: number, offset: (at + OPS_AT + offset) as u32, len: len as u32 };
+                self.apply(&op, place)?;
+            }
+            self.time = self.time.max(frame.time);
+            let segment = self.segments.entry(number).or_default();
+            segment.len = segment.len.max(at + frame.len);
+        }
+        Ok(())
+    }
+
+    /// Brings the index up to an operation that stands in the log.
+    fn apply(&mut self, op: &Op, place: Place) -> Result<()> {
+        match op {
+            Op::Put { table, key, expires, .. } => {
+                self.forget(table, key)?;
+                let print = self.index.print(table, key);
+                self.index.add(print, place);
+                let segment = self.segments.entry(place.segment).or_default();
+                segment.live += u64::from(place.len);
+                let until = expires.map_or(u64::MAX, |t| t.as_micros() as u64);
+                segment.until = segment.until.max(until);
+            }
+            Op::Delete { table, key } => self.forget(table, key)?,
+            Op::Floor { segment } => self.floor = self.floor.max(*segment),
+            Op::Next { .. } => {}
+        }
+        Ok(())
+    }
+
+    /// The record of a key is not the newest any more.
+    fn forget(&mut self, table: &str, key: &[u8]) -> Result<()> {
+        let print = self.index.print(table, key);
+        if let Some(place) = self.find(print, table, key)? {
+            self.index.remove(print, place);
+            if let Some(segment) = self.segments.get_mut(&place.segment) {
+                segment.live = segment.live.saturating_sub(u64::from(place.len));
+            }
+        }
+        Ok(())
+    }
+
+    /// Where the record of a key stands.
+    fn find(&mut self, print: u64, table: &str, key: &[u8]) -> Result<Option<Place>> {
+        let places: Vec<Place> = self.index.places(print).collect();
+        for place in places {
+            // A snapshot may know of a segment that is gone since; it is forgotten when the floor is settled.
+            if !self.segments.contains_key(&place.segment) {
+                continue;
+            }
+            let bytes = self.read_op(place)?;
+            let Some((Op::Put { table: found, key: under, .. }, _)) = format::op(&bytes) else {
+                return Err(self.unreadable(place));
+            };
+            if found == table && under == key {
+                return Ok(Some(place));
+            }
+        }
+        Ok(None)
+    }
+
+    fn read_op(&mut self, place: Place) -> Result<Vec<u8>> {
+        let name = format::segment_name(place.segment);
+        let mut bytes = vec![0; place.len as usize];
+        match self.disk.read(&name, place.offset.into(), &mut bytes) {
+            Ok(()) => Ok(bytes),
+            Err(error) if error.kind() == io::ErrorKind::UnexpectedEof => Err(self.unreadable(place)),
+            Err(error) => Err(StoreError::Disk { what: format!("cannot read {name}"), error }),
+        }
+    }
+
+    fn unreadable(&self, place: Place) -> StoreError {
+        StoreError::Damaged(Damage {
+            file: format::segment_name(place.segment),
+            offset: place.offset.into(),
+            what: "the record there cannot be read".into(),
+        })
+    }
+
+    // Reading
+
+    /// The newest record of a key, unless it was deleted or has expired.
+    pub fn get(&mut self, now: Duration, table: &str, key: &[u8]) -> Result<Option<Found>> {
+        self.time = self.time.max(now);
+        let print = self.index.print(table, key);
+        let Some(place) = self.find(print, table, key)? else { return Ok(None) };
+        let bytes = self.read_op(place)?;
+        match format::op(&bytes) {
+            Some((Op::Put { expires, value, .. }, _)) => {
+                let dead = expires.is_some_and(|expires| expires <= self.time);
+                Ok((!dead).then(|| Found { value: value.to_vec(), expires }))
+            }
+            _ => Err(self.unreadable(place)),
+        }
+    }
+
+    /// All records that are live, in no order: table, key, record.
+    pub fn each(&mut self, now: Duration, mut each: impl FnMut(&str, &[u8], Found)) -> Result<()> {
+        self.time = self.time.max(now);
+        let places: Vec<Place> = self.index.all().map(|(_, place)| place).collect();
+        for place in places {
+            let bytes = self.read_op(place)?;
+            let Some((Op::Put { table, key, expires, value }, _)) = format::op(&bytes) else {
+                return Err(self.unreadable(place));
+            };
+            if expires.is_none_or(|expires| expires > self.time) {
+                each(table, key, Found { value: value.to_vec(), expires });
+            }
+        }
+        Ok(())
+    }
+
+    pub fn stats(&self) -> Stats {
+        Stats {
+            records: self.index.len(),
+            figures: self.figures(),
+            index_bytes: self.index.size(),
+            next_segment: self.last + 1,
+            replayed: self.replayed,
+        }
+    }
+
+    fn figures(&self) -> Figures {
+        let oldest = self.segments.first_key_value();
+        Figures {
+            written: self.segments.values().map(|s| s.len).sum(),
+            live: self.segments.values().map(|s| self.live(s)).sum(),
+            segments: self.segments.len(),
+            oldest: oldest.map_or(0, |(_, s)| s.len),
+            oldest_live: oldest.map_or(0, |(_, s)| self.live(s)),
+            since_snapshot: self.since_snapshot,
+        }
+    }
+
+    fn live(&self, segment: &Segment) -> u64 {
+        if u128::from(segment.until) <= self.time.as_micros() { 0 } else { segment.live }
+    }
+
+    /// Why it takes no more writes, if it does not.
+    pub fn closed(&self) -> Option<&str> {
+        self.closed.as_deref()
+    }
+
+    // Writing
+
+    /// Writes a batch: it survives the process from now on, and power after the next `sync` that succeeds.
+    pub fn write(&mut self, now: Duration, batch: &Batch) -> Result<()> {
+        self.time = self.time.max(now);
+        if let Some(wrong) = batch.wrong {
+            return Err(StoreError::TooLarge(wrong));
+        }
+        if batch.is_empty() {
+            return Ok(());
+        }
+        self.append(&batch.ops)
+    }
+
+    fn append(&mut self, ops: &[u8]) -> Result<()> {
+        self.is_open()?;
+        if self.plan.rotates(self.segments[&self.last].len) {
+            self.rotate()?;
+        }
+        let begin = self.segments[&self.last].len;
+        let frame = format::frame(self.last, begin, self.lasts, self.time, ops);
+        let name = format::segment_name(self.last);
+        if let Err(error) = self.disk.append(&name, &frame) {
+            // Part of it may be there: it must not stand before what comes next.
+            if let Err(worse) = self.disk.truncate(&name, begin) {
+                self.closed = Some(format!("{name} could not be cut after a write that failed: {worse}"));
+            }
+            return Err(StoreError::Disk { what: format!("cannot write to {name}"), error });
+        }
+        let segment = self.segments.get_mut(&self.last).expect("it is written to");
+        segment.len += frame.len() as u64;
+        self.since_snapshot += frame.len() as u64;
+        let found = format::ops(ops).expect("made here");
+        for (offset, len, op) in found {
+            let offset = (begin + OPS_AT + offset) as u32;
+            // The index is brought up by what is on disk: a record that cannot be read is found here.
+            self.apply(&op, Place { segment: self.last, offset, len: len as u32 })?;
+        }
+        Ok(())
+    }
+
+    fn is_open(&self) -> Result<()> {
+        self.closed.as_ref().map_or(Ok(()), |why| Err(StoreError::Closed(why.clone())))
+    }
+
+    /// Makes all that was written last. When it fails nobody knows what lasts, and asking again would be told that
+    /// all is well: the store takes no more writes.
+    pub fn sync(&mut self) -> Result<()> {
+        self.is_open()?;
+        let name = format::segment_name(self.last);
+        if let Err(error) = self.disk.sync(&name) {
+            self.closed = Some(format!("{name} could not be synced: {error}"));
+            return Err(StoreError::Disk { what: format!("cannot sync {name}"), error });
+        }
+        self.lasts = self.segments[&self.last].len;
+        Ok(())
+    }
+
+    fn rotate(&mut self) -> Result<()> {
+        // A segment before the last is whole: that is how rot in it is told from a torn end.
+        self.sync()?;
+        self.begin_segment(self.last + 1)
+    }
+
+    fn begin_segment(&mut self, number: u64) -> Result<()> {
+        let name = format::segment_name(number);
+        let made = self.disk.create(&name).and_then(|()| self.disk.append(&name, &format::head(number)));
+        if let Err(error) = made {
+            // Half begun it would make the one before it seem whole.
+            if let Err(worse) = self.disk.remove(&name)
+                && worse.kind() != io::ErrorKind::NotFound
+            {
+                self.closed =
+                    Some(format!("{name} could not be removed after it could not be begun: {worse}"));
+            }
+            return Err(StoreError::Disk { what: format!("cannot begin {name}"), error });
+        }
+        let lasts = self.disk.sync(&name).and_then(|()| self.disk.sync_names());
+        if let Err(error) = lasts {
+            self.closed = Some(format!("{name} could not be synced: {error}"));
+            return Err(StoreError::Disk { what: format!("cannot sync {name}"), error });
+        }
+        if self.segments.contains_key(&self.last) {
+            self.name_next(number)?;
+        }
+        self.segments.insert(number, Segment { len: HEAD, ..Segment::default() });
+        (self.last, self.lasts) = (number, HEAD);
+        Ok(())
+    }
+
+    /// The last word of a segment, when the next one lasts and before it is used.
+    fn name_next(&mut self, number: u64) -> Result<()> {
+        let begin = self.segments[&self.last].len;
+        let mut ops = Vec::new();
+        format::next(&mut ops, number);
+        let frame = format::frame(self.last, begin, self.lasts, self.time, &ops);
+        let name = format::segment_name(self.last);
+        if let Err(error) = self.disk.append(&name, &frame) {
+            // No room for it, say: the next segment is taken back, and this one goes on.
+            let new = format::segment_name(number);
+            let undone = self.disk.truncate(&name, begin).and_then(|()| self.disk.remove(&new));
+            if let Err(worse) = undone.and_then(|()| self.disk.sync_names()) {
+                self.closed = Some(format!("{new} could not be taken back: {worse}"));
+            }
+            return Err(StoreError::Disk { what: format!("cannot end {name}"), error });
+        }
+        if let Err(error) = self.disk.sync(&name) {
+            self.closed = Some(format!("{name} could not be ended: {error}"));
+            return Err(StoreError::Disk { what: format!("cannot end {name}"), error });
+        }
+        let segment = self.segments.get_mut(&self.last).expect("it was looked up");
+        segment.len += frame.len() as u64;
+        Ok(())
+    }
+
+    /// Says in the log how much of it lasts, so that rot at its end is told from a torn end; for a pause or the end.
+    pub fn seal(&mut self) -> Result<()> {
+        self.sync()?;
+        self.append(&[])?;
+        self.sync()
+    }
+
+    // Work that may wait
+
+    /// Is there something to be done in the background?
+    pub fn wants_work(&self) -> bool {
+        let figures = self.figures();
+        self.closed.is_none()
+            && (self.moving.is_some()
+                || self.writing.is_some()
+                || self.plan.compacts(&figures)
+                || self.plan.takes_snapshot(&figures))
+    }
+
+    /// Does some of what is to be done in the background, about so many bytes of it; tells how many.
+    pub fn work(&mut self, now: Duration, budget: usize) -> Result<usize> {
+        self.time = self.time.max(now);
+        self.is_open()?;
+        if self.writing.is_some() {
+            return self.go_on_writing(budget);
+        }
+        if self.moving.is_some() {
+            return self.go_on_moving(budget);
+        }
+        let figures = self.figures();
+        if self.plan.compacts(&figures) {
+            let (number, _) = self.segments.first_key_value().expect("it counts them");
+            let segment = *number;
+            let bytes = self.read_all(&format::segment_name(segment))?;
+            self.moving = Some(Moving { segment, bytes, at: HEAD });
+            return self.go_on_moving(budget);
+        }
+        if self.plan.takes_snapshot(&figures) {
+            return self.begin_snapshot();
+        }
+        Ok(0)
+    }
+
+    /// Copies what is live to the end, frame by frame; then the segment is needed no more.
+    fn go_on_moving(&mut self, budget: usize) -> Result<usize> {
+        let Some(mut moving) = self.moving.take() else { return Ok(0) };
+        let mut batch = Vec::new();
+        let mut done = 0;
+        while (moving.at as usize) < moving.bytes.len() && done < budget {
+            let Some(frame) =
+                format::read_frame(&moving.bytes[moving.at as usize..], moving.segment, moving.at)
+            else {
+                return Err(StoreError::Damaged(Damage {
+                    file: format::segment_name(moving.segment),
+                    offset: moving.at,
+                    what: "what was written there cannot be read".into(),
+                }));
+            };
+            for (offset, len, op) in format::ops(frame.ops).unwrap_or_default() {
+                let offset = (moving.at + OPS_AT + offset) as u32;
+                let place = Place { segment: moving.segment, offset, len: len as u32 };
+                if let Op::Put { table, key, expires, value } = op {
+                    let print = self.index.print(table, key);
+                    let is_newest = self.index.places(print).any(|known| known == place);
+                    if is_newest && expires.is_none_or(|expires| expires > self.time) {
+                        if batch.len() + len as usize > MAX_BATCH {
+                            self.append(&std::mem::take(&mut batch))?;
+                        }
+                        format::put(&mut batch, table, key, expires, value);
+                    } else if is_newest {
+                        self.index.remove(print, place);
+                        if let Some(segment) = self.segments.get_mut(&moving.segment) {
+                            segment.live = segment.live.saturating_sub(len);
+                        }
+                    }
+                }
+            }
+            done += frame.len as usize;
+            moving.at += frame.len;
+        }
+        if !batch.is_empty() {
+            self.append(&batch)?;
+        }
+        if (moving.at as usize) < moving.bytes.len() {
+            self.moving = Some(moving);
+            return Ok(done);
+        }
+        let mut floor = Vec::new();
+        format::floor(&mut floor, moving.segment + 1);
+        self.append(&floor)?;
+        // The copies and the floor last before the original goes.
+        self.sync()?;
+        self.segments.remove(&moving.segment);
+        let name = format::segment_name(moving.segment);
+        at("remove", &name, self.disk.remove(&name))?;
+        Ok(done.max(1))
+    }
+
+    fn begin_snapshot(&mut self) -> Result<usize> {
+        // A snapshot must never know of what the log may lose.
+        self.sync()?;
+        let here = (self.last, self.segments[&self.last].len);
+        let bytes = snapshot::write(here, self.floor, self.time, &self.segments, &self.index);
+        let name = format!("{}.new", snapshot::name(self.next_snapshot));
+        let _ = self.disk.remove(&name); // Left by one that failed.
+        at("create", &name, self.disk.create(&name))?;
+        self.writing = Some(Writing { name, bytes, done: 0 });
+        self.since_snapshot = 0;
+        Ok(1)
+    }
+
+    fn go_on_writing(&mut self, budget: usize) -> Result<usize> {
+        let Some(mut writing) = self.writing.take() else { return Ok(0) };
+        let end = (writing.done + budget.max(1)).min(writing.bytes.len());
+        let part = &writing.bytes[writing.done..end];
+        if let Err(error) = self.disk.append(&writing.name, part) {
+            // It can be done without: it is tried again when more has been written.
+            let _ = self.disk.remove(&writing.name);
+            return Err(StoreError::Disk { what: format!("cannot write {}", writing.name), error });
+        }
+        let done = end - writing.done;
+        writing.done = end;
+        if end < writing.bytes.len() {
+            self.writing = Some(writing);
+            return Ok(done);
+        }
+        let number = self.next_snapshot;
+        let name = snapshot::name(number);
+        let lasts = self.disk.sync(&writing.name);
+        let lasts = lasts.and_then(|()| self.disk.rename(&writing.name, &name));
+        at("finish", &name, lasts.and_then(|()| self.disk.sync_names()))?;
+        self.next_snapshot += 1;
+        for former in at("list", "its files", self.disk.names())? {
+            if snapshot::number(&former).is_some_and(|former| former < number) {
+                at("remove", &former, self.disk.remove(&former))?;
+            }
+        }
+        Ok(done)
+    }
+
+    /// Gives the disk back, as a process that ends does: nothing is made to last.
+    pub fn into_disk(self) -> D {
+        self.disk
+    }
+}
--- /dev/null
+++ b/crates/store/tests/crashes.rs
@@ -0,0 +1,471 @@
+//! Crashes at every byte and every step, rot at every bit, and faults by seed, against a plain map.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use lotussaddle_store::*;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const NOW: Duration = Duration::from_secs(1000);
+
+/// Small segments, so that a short workload rotates, compacts and takes snapshots.
+fn plan() -> Plan {
+    Plan { segment: 600, space: 2.0, least: 1500, snapshot: 1500 }
+}
+
+type Model = BTreeMap<Vec<u8>, Vec<u8>>;
+
+/// What a store holds, table by table.
+fn contents(store: &mut Store<SimDisk>) -> Model {
+    let mut all = Model::new();
+    let each = |table: &str, key: &[u8], found: Found| {
+        all.insert([table.as_bytes(), b"/", key].concat(), found.value);
+    };
+    store.each(NOW, each).expect("readable");
+    all
+}
+
+/// A step of a workload: some changes that go together.
+#[derive(Clone, Debug)]
+struct Change {
+    puts: Vec<(u8, Vec<u8>)>,
+    deletes: Vec<u8>,
+    synced: bool,
+}
+
+fn workload(seed: u64, steps: usize) -> Vec<Change> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let value = |rng: &mut Pcg64Mcg| {
+        let len = rng.random_range(0..60);
+        (0..len).map(|_| rng.random()).collect()
+    };
+    let change = |rng: &mut Pcg64Mcg| Change {
+        puts: (0..rng.random_range(0..3)).map(|_| (rng.random_range(0..12), value(rng))).collect(),
+        deletes: (0..rng.random_range(0..2)).map(|_| rng.random_range(0..12)).collect(),
+        synced: rng.random_range(0..3) > 0,
+    };
+    (0..steps).map(|_| change(&mut rng)).collect()
+}
+
+fn batch(change: &Change) -> Batch {
+    let mut batch = Batch::default();
+    for (key, value) in &change.puts {
+        batch.put("t", &[*key], None, value);
+    }
+    for key in &change.deletes {
+        batch.delete("t", &[*key]);
+    }
+    batch
+}
+
+fn model_after(model: &mut Model, change: &Change) {
+    let name = |key: &u8| [b"t/", [*key].as_slice()].concat();
+    for (key, value) in &change.puts {
+        model.insert(name(key), value.clone());
+    }
+    for key in &change.deletes {
+        model.remove(&name(key));
+    }
+}
+
+/// Runs a workload until it ends or the disk does. Gives the models after each change that was begun, and how many of
+/// them were acknowledged as written, and as synced.
+fn run(store: &mut Store<SimDisk>, changes: &[Change], models: &mut Vec<Model>) -> (usize, usize) {
+    let (mut written, mut synced) = (models.len() - 1, models.len() - 1);
+    for change in changes {
+        let mut next = models.last().expect("the first").clone();
+        model_after(&mut next, change);
+        models.push(next);
+        if store.write(NOW, &batch(change)).is_err() {
+            break;
+        }
+        written = models.len() - 1;
+        if change.synced {
+            if store.sync().is_err() {
+                break;
+            }
+            synced = written;
+        }
+        let mut left = 20;
+        while store.wants_work() && left > 0 {
+            if store.work(NOW, 500).is_err() {
+                break;
+            }
+            left -= 1;
+        }
+    }
+    (written, synced)
+}
+
+/// Opens what a crash left: it must hold one of the models, no older than what was promised.
+fn check(disk: SimDisk, models: &[Model], promised: usize, what: &str) -> SimDisk {
+    let mut store = Store::open(disk, plan()).unwrap_or_else(|error| panic!("{what}: {error}"));
+    let found = contents(&mut store);
+    let place = models.iter().rposition(|model| *model == found);
+    let place = place.unwrap_or_else(|| panic!("{what}: a state that never was: {found:?}"));
+    assert!(
+        place >= promised || models[promised..].contains(&found),
+        "{what}: state {place}, promised {promised}"
+    );
+    store.into_disk()
+}
+
+#[test]
+fn the_newest_is_read_and_survives_reopening() {
+    let mut store = Store::open(SimDisk::new(1), plan()).unwrap();
+    let mut models = vec![Model::new()];
+    run(&mut store, &workload(1, 300), &mut models);
+    assert_eq!(contents(&mut store), *models.last().unwrap());
+    let stats = store.stats();
+    assert!(stats.next_segment > 20 && stats.figures.segments < 12, "it rotated and compacted: {stats:?}");
+    let mut disk = store.into_disk();
+    disk.restart();
+    let mut store = Store::open(disk, plan()).unwrap();
+    assert_eq!(contents(&mut store), *models.last().unwrap());
+    assert!(store.stats().replayed < 4000, "a snapshot was used: {:?}", store.stats());
+    for key in 0..12u8 {
+        let wanted = models.last().unwrap().get(&[b"t/", [key].as_slice()].concat());
+        assert_eq!(store.get(NOW, "t", &[key]).unwrap().map(|found| found.value).as_ref(), wanted);
+        assert_eq!(store.get(NOW, "other", &[key]).unwrap(), None);
+    }
+}
+
+/// Power goes before every step that a workload takes, rotation, compaction and snapshots included; what was not
+/// synced comes back in several ways.
+#[test]
+fn power_lost_at_every_step() {
+    let changes = workload(2, 60);
+    let steps = {
+        let mut store = Store::open(SimDisk::new(0), plan()).unwrap();
+        run(&mut store, &changes, &mut vec![Model::new()]);
+        store.into_disk().steps
+    };
+    assert!(steps > 200, "{steps}");
+    for at in 0..steps {
+        for seed in 0..6 {
+            let mut disk = SimDisk::new(seed);
+            disk.faults.power_at = Some(at);
+            let mut models = vec![Model::new()];
+            let (disk, synced) = match Store::open(disk, plan()) {
+                Ok(mut store) => {
+                    let (_, synced) = run(&mut store, &changes, &mut models);
+                    (store.into_disk(), synced)
+                }
+                // Its first segment could not be made; nothing was promised.
+                Err(_) => continue,
+            };
+            let mut disk = disk;
+            disk.lose_power();
+            check(disk, &models, synced, &format!("power lost at step {at}, seed {seed}"));
+        }
+    }
+}
+
+/// The process is killed at every step: what was written is there, synced or not.
+#[test]
+fn killed_at_every_step() {
+    let changes = workload(3, 60);
+    for at in 0..400 {
+        let mut disk = SimDisk::new(at);
+        disk.faults.power_at = Some(at);
+        let mut models = vec![Model::new()];
+        let Ok(mut store) = Store::open(disk, plan()) else { continue };
+        let (written, _) = run(&mut store, &changes, &mut models);
+        let mut disk = store.into_disk();
+        disk.restart();
+        check(disk, &models, written, &format!("killed at step {at}"));
+    }
+}
+
+/// Power goes during the recovery, and during the recovery of that.
+#[test]
+fn power_lost_during_recovery_and_again() {
+    let changes = workload(4, 60);
+    let mut pairs = 0;
+    for first in (5..300).step_by(7) {
+        for second in 0..12 {
+            for third in [1, 4] {
+                let mut disk = SimDisk::new(first * 100 + second);
+                disk.faults.power_at = Some(first);
+                let mut models = vec![Model::new()];
+                let Ok(mut store) = Store::open(disk, plan()) else { continue };
+                let (_, synced) = run(&mut store, &changes, &mut models);
+                let mut disk = store.into_disk();
+                for at in [second, third] {
+                    disk.lose_power();
+                    disk.faults.power_at = Some(at);
+                    disk = match Store::open(disk.clone(), plan()) {
+                        Ok(store) => store.into_disk(),
+                        Err(_) => disk,
+                    };
+                }
+                disk.lose_power();
+                check(disk, &models, synced, &format!("power lost at {first}, {second}, {third}"));
+                pairs += 1;
+            }
+        }
+    }
+    assert!(pairs > 500);
+}
+
+/// After a crash and a reopening the store goes on, and crashes again.
+#[test]
+fn two_lives_and_two_crashes() {
+    let (one, two) = (workload(5, 40), workload(6, 40));
+    for first in (3..250).step_by(11) {
+        for second in (3..200).step_by(13) {
+            let mut disk = SimDisk::new(first * 1000 + second);
+            disk.faults.power_at = Some(first);
+            let mut models = vec![Model::new()];
+            let Ok(mut store) = Store::open(disk, plan()) else { continue };
+            let (_, synced) = run(&mut store, &one, &mut models);
+            let mut disk = store.into_disk();
+            disk.lose_power();
+            let what = format!("power lost at {first} and {second}");
+            let mut disk = check(disk, &models, synced, &what);
+            disk.restart();
+            disk.faults.power_at = Some(second);
+            let Ok(mut store) = Store::open(disk, plan()) else { continue };
+            let mut models = vec![contents(&mut store)];
+            let (_, synced) = run(&mut store, &two, &mut models);
+            let mut disk = store.into_disk();
+            disk.lose_power();
+            check(disk, &models, synced, &what);
+        }
+    }
+}
+
+/// A store with several segments, sealed, and its files.
+fn sealed(seed: u64, steps: usize) -> (SimDisk, Vec<Model>) {
+    let mut store = Store::open(SimDisk::new(seed), plan()).unwrap();
+    let mut models = vec![Model::new()];
+    run(&mut store, &workload(seed, steps), &mut models);
+    store.seal().unwrap();
+    let mut disk = store.into_disk();
+    disk.restart();
+    (disk, models)
+}
+
+/// The last segment is cut at every byte: each change is whole or absent. Others cut are damage, and named.
+#[test]
+fn files_cut_at_every_byte() {
+    let mut store = Store::open(SimDisk::new(8), Plan { snapshot: u64::MAX, space: 1e9, ..plan() }).unwrap();
+    let mut models = vec![Model::new()];
+    // Nothing synced by itself: cuts are then torn writes, not broken promises.
+    let changes: Vec<Change> = workload(8, 40).into_iter().map(|c| Change { synced: false, ..c }).collect();
+    run(&mut store, &changes, &mut models);
+    let mut disk = store.into_disk();
+    disk.restart();
+    let names: Vec<String> = disk.all_names();
+    assert!(names.len() >= 3, "{names:?}");
+    let last = names.iter().max().unwrap().clone();
+    let (mut torn, mut refused, mut seen) = (0, 0, BTreeSet::new());
+    for name in &names {
+        let whole = disk.contents(name).unwrap().to_vec();
+        for cut in 0..whole.len() {
+            let mut disk = disk.clone();
+            disk.spoil(name, whole[..cut].to_vec());
+            match Store::open(disk, plan()) {
+                Ok(mut store) => {
+                    assert_eq!(*name, last, "{name} cut at {cut} was not noticed");
+                    let found = contents(&mut store);
+                    let place = models.iter().rposition(|model| *model == found);
+                    seen.insert(
+                        place.unwrap_or_else(|| panic!("{name} cut at {cut}: a state that never was")),
+                    );
+                    torn += 1;
+                }
+                Err(StoreError::Damaged(damage)) => {
+                    // The head of the last one was promised when the one before it named it.
+                    assert!(*name != last || cut < 18, "{name} cut at {cut}: {damage:?}");
+                    assert!(damage.file == *name && damage.offset <= cut as u64, "{damage:?}");
+                    refused += 1;
+                }
+                Err(other) => panic!("{name} cut at {cut}: {other}"),
+            }
+        }
+    }
+    assert!(torn > 50 && refused > 500 && seen.len() > 1, "{torn} torn, {refused} refused, {seen:?}");
+}
+
+/// Every single bit of a store's files is flipped: never a wrong value, never one lost in silence.
+#[test]
+fn every_bit_flipped() {
+    let (disk, models) = sealed(9, 40);
+    let wanted = models.last().unwrap();
+    let names = disk.all_names();
+    assert!(names.iter().any(|name| name.starts_with("snap-")), "{names:?}");
+    let (mut refused, mut harmless) = (0, 0);
+    for name in &names {
+        let whole = disk.contents(name).unwrap().to_vec();
+        for bit in 0..whole.len() * 8 {
+            let mut spoilt = whole.clone();
+            spoilt[bit / 8] ^= 1 << (bit % 8);
+            let mut disk = disk.clone();
+            disk.spoil(name, spoilt);
+            let mut store = match Store::open(disk, plan()) {
+                Ok(store) => store,
+                Err(StoreError::Damaged(damage)) => {
+                    assert_eq!(damage.file, *name);
+                    refused += 1;
+                    continue;
+                }
+                Err(other) => panic!("bit {bit} of {name}: {other}"),
+            };
+            for key in 0..12u8 {
+                match store.get(NOW, "t", &[key]) {
+                    Ok(found) => {
+                        let right = wanted.get(&[b"t/", [key].as_slice()].concat());
+                        let value = found.map(|found| found.value);
+                        assert_eq!(value.as_ref(), right, "bit {bit} of {name}, key {key}");
+                    }
+                    Err(StoreError::Damaged(damage)) => assert_eq!(damage.file, *name),
+                    Err(other) => panic!("bit {bit} of {name}: {other}"),
+                }
+            }
+            harmless += 1;
+        }
+    }
+    assert!(refused > 1000 && harmless > 1000, "{refused} refused, {harmless} harmless or found on reading");
+}
+
+/// Operations fail at random: what was refused is not there, what was acknowledged is, and after a failed sync the
+/// store takes nothing more.
+#[test]
+fn failing_operations_by_seed() {
+    let (mut closed, mut failed) = (0, 0);
+    for seed in 0..300 {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut disk = SimDisk::new(seed);
+        disk.faults.fail_at = (0..rng.random_range(1..5)).map(|_| rng.random_range(5..200)).collect();
+        let mut store = Store::open(disk, plan()).unwrap();
+        let mut model = Model::new();
+        let mut models = vec![model.clone()];
+        let mut promised = 0;
+        for change in workload(seed, 60) {
+            let was_closed = store.closed().is_some();
+            match store.write(NOW, &batch(&change)) {
+                Ok(()) => {
+                    assert!(!was_closed || batch(&change).is_empty(), "a write after it closed");
+                    model_after(&mut model, &change);
+                    models.push(model.clone());
+                }
+                Err(_) => failed += 1,
+            }
+            if change.synced && store.sync().is_ok() {
+                promised = models.len() - 1;
+            }
+            let _ = store.work(NOW, 200);
+            if store.closed().is_none() {
+                assert_eq!(contents(&mut store), model, "seed {seed}");
+            }
+        }
+        closed += usize::from(store.closed().is_some());
+        let mut disk = store.into_disk();
+        disk.lose_power();
+        check(disk, &models, promised, &format!("faults, seed {seed}"));
+    }
+    assert!(closed > 20 && failed > 100, "{closed} closed, {failed} writes failed");
+}
+
+#[test]
+fn a_failed_sync_closes_the_store_for_good_and_leaves_it_readable() {
+    let mut store = Store::open(SimDisk::new(1), plan()).unwrap();
+    store.write(NOW, Batch::default().put("t", b"k", None, b"v")).unwrap();
+    let mut disk = store.into_disk();
+    disk.restart();
+    disk.faults.fail_at = [4].into();
+    let mut store = Store::open(disk, plan()).unwrap();
+    store.write(NOW, Batch::default().put("t", b"k", None, b"w")).unwrap();
+    assert!(matches!(store.sync(), Err(StoreError::Disk { .. })));
+    // The disk would say now that all is well.
+    assert!(matches!(store.sync(), Err(StoreError::Closed(_))));
+    let again = store.write(NOW, Batch::default().put("t", b"k", None, b"x"));
+    assert!(matches!(again, Err(StoreError::Closed(_))));
+    assert_eq!(store.get(NOW, "t", b"k").unwrap().unwrap().value, b"w");
+}
+
+#[test]
+fn a_full_disk_leaves_it_readable_and_it_goes_on_with_room() {
+    for room in (700..2600).step_by(37) {
+        let mut disk = SimDisk::new(room);
+        disk.faults.room = Some(room);
+        let mut store = Store::open(disk, plan()).unwrap();
+        let (mut model, mut refused) = (Model::new(), 0);
+        for change in workload(7, 80) {
+            match store.write(NOW, &batch(&change)) {
+                Ok(()) => model_after(&mut model, &change),
+                Err(_) => refused += 1,
+            }
+            let _ = store.work(NOW, 100);
+            assert_eq!(contents(&mut store), model, "room {room}");
+        }
+        assert!(store.closed().is_none(), "{:?}", store.closed());
+        let mut disk = store.into_disk();
+        disk.restart();
+        let mut store = Store::open(disk, plan()).unwrap();
+        assert_eq!(contents(&mut store), model, "room {room}, opened again");
+        store.write(NOW, Batch::default().put("t", b"k", None, b"there is room again")).unwrap();
+        assert!(refused > 0 || room > 1200, "room {room}");
+    }
+}
+
+#[test]
+fn what_expires_goes_without_being_copied_and_a_clock_that_goes_back_does_not_bring_it_back() {
+    let mut store = Store::open(SimDisk::new(1), plan()).unwrap();
+    let second = Duration::from_secs(1);
+    for n in 0..200u32 {
+        let now = NOW + second * n;
+        store
+            .write(
+                now,
+                Batch::default().put("answered", &n.to_le_bytes(), Some(now + second * 10), b"stands"),
+            )
+            .unwrap();
+        while store.wants_work() {
+            store.work(now, 1000).unwrap();
+        }
+        let then = n.saturating_sub(20);
+        assert_eq!(store.get(now, "answered", &then.to_le_bytes()).unwrap().is_some(), n < 10, "{n}");
+    }
+    let stats = store.stats();
+    assert!(stats.figures.written < 6000 && stats.records < 60, "{stats:?}");
+    let end = NOW + second * 199;
+    assert!(store.get(end, "answered", &195u32.to_le_bytes()).unwrap().is_some());
+    assert!(store.get(NOW, "answered", &150u32.to_le_bytes()).unwrap().is_none());
+    assert!(store.get(end + second * 20, "answered", &195u32.to_le_bytes()).unwrap().is_none());
+    store.write(end, Batch::default().put("t", b"k", None, b"v")).unwrap();
+    let mut disk = store.into_disk();
+    disk.restart();
+    let mut store = Store::open(disk, plan()).unwrap();
+    assert!(store.get(NOW, "answered", &195u32.to_le_bytes()).unwrap().is_none(), "it has seen that time");
+}
+
+#[test]
+fn a_second_opener_a_newer_format_and_a_missing_segment_are_refused() {
+    let (disk, _) = sealed(3, 60);
+    let mut locked = disk.clone();
+    Disk::lock(&mut locked).unwrap();
+    assert!(matches!(Store::open(locked, plan()), Err(StoreError::Locked)));
+
+    let logs: Vec<String> = disk.all_names().into_iter().filter(|n| n.starts_with("log-")).collect();
+    let last = logs.last().unwrap();
+    let mut bytes = disk.contents(last).unwrap().to_vec();
+    bytes[4] = 9;
+    let sum = crc32c::crc32c(&bytes[..14]);
+    bytes[14..18].copy_from_slice(&sum.to_le_bytes());
+    let mut newer = disk.clone();
+    newer.spoil(last, bytes);
+    assert!(matches!(Store::open(newer, plan()), Err(StoreError::Newer { found: 9, .. })));
+
+    for name in &logs {
+        let mut disk = disk.clone();
+        Disk::remove(&mut disk, name).unwrap();
+        match Store::open(disk, plan()) {
+            Err(StoreError::Damaged(damage)) => assert!(damage.what.contains("missing"), "{damage:?}"),
+            Err(other) => panic!("{name}: {other}"),
+            Ok(_) => panic!("{name} is missing and nobody noticed"),
+        }
+    }
+}
