Store: a thread for many writers, group commit, check; the edge proxy's answers wait for their record

A decision thread must not wait for a disk, and an answer must be recorded before it is given. Adds the keeper (bounded channel, one write and one sync for all that wait, one slice of background work between two groups), a read-only look at every byte, and in edge: answers that wait for their record up to a bound kept back from each cut-off. Not yet driven by serve.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -9,7 +9,7 @@
 use lotussaddle_trunk::{Cause, Dial, End, Entry, Frame, Hello, Message, NotTaken, Role, VERSION};
 
 use crate::hands::{Hands, State};
-use crate::held::{At, Concluded, Counts, Dues, Held, Limits};
+use crate::held::{At, Concluded, Counts, Dues, Held, Limits, Pending};
 use crate::links::{Far, Kind, Link};
 use crate::{Decisions, LinkId, Note, Wires};
 
@@ -58,6 +58,7 @@
             alarm: None,
             ends: VecDeque::new(),
             broken: VecDeque::new(),
+            pending: Pending::default(),
         };
         Self {
             name: Arc::from(name),
@@ -82,12 +83,26 @@
 
     /// When `alarm` is to be called next.
     pub fn next_due(&self) -> Duration {
-        let dues = [self.state.alarm, self.state.dues.first(), self.list_at];
+        let dues = [self.state.alarm, self.state.dues.first(), self.list_at, self.state.pending.first()];
         dues.into_iter().flatten().fold(self.sweep_at, Duration::min)
     }
 
+    /// A dialogue that had its final answer in a former life.
+    pub fn recall(&mut self, dialogue: &DialogueId) {
+        self.state.concluded.add(self.state.now, dialogue, &self.state.limits);
+    }
+
     // Inputs
 
+    /// What `Wires::record` gave this number is remembered.
+    pub fn recorded(&mut self, now: Duration, number: u64, wires: &mut dyn Wires) {
+        self.state.now = now;
+        if let Some(unsaid) = self.state.pending.take(number) {
+            self.hands(wires).say(unsaid.link, unsaid.frame);
+        }
+        self.settle(wires);
+    }
+
     /// A link has come in.
     pub fn linked(&mut self, now: Duration, link: LinkId, wires: &mut dyn Wires) {
         self.state.now = now;
@@ -137,6 +152,9 @@
             (_, false, _) => self.drop_link(link, "spoke before it said hello", wires),
             (Kind::Caller(_), true, Frame::Dial(dial)) => self.dialled(link, dial, message.extra, wires),
             (Kind::Caller(_), true, Frame::HangUp { dialogue }) => {
+                if self.state.pending.of(&dialogue).is_some_and(|unsaid| unsaid.link == link) {
+                    self.state.pending.drop_of(&dialogue);
+                }
                 if self.state.held.get(&dialogue).is_some_and(|held| held.link == link) {
                     self.hung_up(&dialogue, wires);
                 }
@@ -157,6 +175,10 @@
     pub fn alarm(&mut self, now: Duration, wires: &mut dyn Wires) {
         self.state.now = now;
         self.time_outs(wires);
+        while let Some(unsaid) = self.state.pending.overdue(now) {
+            self.state.counts.unrecorded += 1;
+            self.hands(wires).say(unsaid.link, unsaid.frame);
+        }
         if self.state.alarm.is_some_and(|at| at <= now) {
             self.state.alarm = None;
             let mut hands = Hands { state: &mut self.state, wires };
@@ -279,7 +301,7 @@
             first_choice: dial.first_choice,
             width: dial.width,
             // A dial that was long on its way has lost that time; one that lost all of it is answered at once.
-            cut_off: now + dial.time_left.saturating_sub(delay),
+            cut_off: now + dial.time_left.saturating_sub(delay + self.state.limits.record_within),
             again: dial.again,
             came_back: dial.came_back,
         };
@@ -386,7 +408,7 @@
                             known.here.insert(dialogue.clone());
                         }
                         let stands = Frame::Stands { dialogue: dialogue.clone(), server: server.clone() };
-                        hands.say(caller, stands);
+                        hands.answer(caller, &dialogue, stands);
                     }
                     self.brain.stands(now, &dialogue, launch, server, &mut hands);
                 } else {
@@ -494,6 +516,7 @@
             Some(At::Standing { .. }) if end == End::Cut => hands.cut(id),
             Some(At::Standing { .. }) => {
                 if let Some(caller) = hands.conclude(id) {
+                    hands.flush(id);
                     hands.say(caller, Frame::Over { dialogue: id.clone(), end });
                 }
             }
--- a/crates/edge/src/hands.rs
+++ b/crates/edge/src/hands.rs
@@ -6,7 +6,7 @@
 use lotussaddle::interface::*;
 use lotussaddle_trunk::{End, Frame, Launch, Message};
 
-use crate::held::{At, Concluded, Counts, Dues, Held, Limits};
+use crate::held::{At, Concluded, Counts, Dues, Held, Limits, Pending, Unsaid};
 use crate::links::{Far, Kind, Link};
 use crate::{LinkId, Note, Wires};
 
@@ -28,6 +28,7 @@
     pub ends: VecDeque<LaunchEnd>,
     /// Links that turned out to be of no use while they were written to.
     pub broken: VecDeque<(LinkId, &'static str)>,
+    pub pending: Pending,
 }
 
 /// State and wires, lent to the module for one input.
@@ -44,6 +45,30 @@
         }
     }
 
+    /// Gives a final answer, once it is recorded that it is given: a crash in between leaves a dialogue that is known
+    /// to have been answered and was not, never one that is answered twice.
+    pub fn answer(&mut self, link: LinkId, dialogue: &DialogueId, frame: Frame) {
+        match self.wires.record(dialogue, &frame) {
+            Some(number) => {
+                let by = self.state.now + self.state.limits.record_within;
+                let unsaid = Unsaid { link, dialogue: dialogue.clone(), frame };
+                self.state.pending.add(by, number, unsaid);
+            }
+            None => {
+                self.state.counts.unrecorded += u64::from(!self.state.limits.record_within.is_zero());
+                self.say(link, frame);
+            }
+        }
+    }
+
+    /// A dialogue may be over before its caller is told that it stands: then it is told that first.
+    pub fn flush(&mut self, id: &DialogueId) {
+        if let Some(unsaid) = self.state.pending.drop_of(id) {
+            self.state.counts.unrecorded += 1;
+            self.say(unsaid.link, unsaid.frame);
+        }
+    }
+
     /// Takes out a dialogue that is over for its caller.
     pub fn drop_held(&mut self, id: &DialogueId) -> Option<Held> {
         let held = self.state.held.remove(id)?;
@@ -140,6 +165,7 @@
     pub fn cut(&mut self, id: &DialogueId) {
         self.state.counts.cut += 1;
         if let Some(link) = self.conclude(id) {
+            self.flush(id);
             self.say(link, Frame::Over { dialogue: id.clone(), end: End::Cut });
         }
     }
@@ -180,14 +206,14 @@
     fn refuse(&mut self, dialogue: &DialogueId, come_back: Option<Duration>) {
         if let Some(link) = self.conclude(dialogue) {
             self.state.counts.refused += 1;
-            self.say(link, Frame::Refused { dialogue: dialogue.clone(), come_back });
+            self.answer(link, dialogue, Frame::Refused { dialogue: dialogue.clone(), come_back });
         }
     }
 
     fn fail(&mut self, dialogue: &DialogueId) {
         if let Some(link) = self.conclude(dialogue) {
             self.state.counts.failed += 1;
-            self.say(link, Frame::Failed { dialogue: dialogue.clone() });
+            self.answer(link, dialogue, Frame::Failed { dialogue: dialogue.clone() });
         }
     }
 
--- a/crates/edge/src/held.rs
+++ b/crates/edge/src/held.rs
@@ -1,10 +1,10 @@
 //! What is held of each dialogue, and the bounds of all that is held.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
 use lotussaddle::interface::{DialledKey, DialogueId, LaunchNo, ServerId};
-use lotussaddle_trunk::Extra;
+use lotussaddle_trunk::{Extra, Frame};
 
 use crate::LinkId;
 
@@ -33,6 +33,9 @@
     pub remember_for: Duration,
     /// How long the end of a released dialogue is awaited.
     pub release_within: Duration,
+    /// How long an answer waits until it is recorded; then it is given all the same. So much time is kept back from
+    /// each dialogue's cut-off. Zero where nothing is recorded.
+    pub record_within: Duration,
 }
 
 impl Default for Limits {
@@ -49,6 +52,7 @@
             remembered: 200_000,
             remember_for: Duration::from_secs(60),
             release_within: Duration::from_secs(5),
+            record_within: Duration::ZERO,
         }
     }
 }
@@ -68,6 +72,8 @@
     /// Answers of core servers to launches that were over by then.
     pub strays: u64,
     pub links_closed: u64,
+    /// Answers given before they were recorded, since that took too long or could not be had.
+    pub unrecorded: u64,
 }
 
 /// Where a dialogue is.
@@ -137,6 +143,65 @@
     }
 }
 
+/// An answer that waits until it is recorded.
+pub struct Unsaid {
+    pub link: LinkId,
+    pub dialogue: DialogueId,
+    pub frame: Frame,
+}
+
+/// Answers that wait until they are recorded, in the order in which they were made.
+#[derive(Default)]
+pub struct Pending {
+    by_number: BTreeMap<u64, Unsaid>,
+    by_dialogue: HashMap<DialogueId, u64>,
+    dues: VecDeque<(Duration, u64)>,
+}
+
+impl Pending {
+    pub fn add(&mut self, by: Duration, number: u64, unsaid: Unsaid) {
+        self.by_dialogue.insert(unsaid.dialogue.clone(), number);
+        self.by_number.insert(number, unsaid);
+        self.dues.push_back((by, number));
+    }
+
+    pub fn take(&mut self, number: u64) -> Option<Unsaid> {
+        let unsaid = self.by_number.remove(&number)?;
+        self.by_dialogue.remove(&unsaid.dialogue);
+        Some(unsaid)
+    }
+
+    /// The answer of this dialogue, if it waits.
+    pub fn of(&mut self, id: &DialogueId) -> Option<&mut Unsaid> {
+        self.by_number.get_mut(self.by_dialogue.get(id)?)
+    }
+
+    pub fn drop_of(&mut self, id: &DialogueId) -> Option<Unsaid> {
+        let number = self.by_dialogue.get(id).copied()?;
+        self.take(number)
+    }
+
+    /// When the first of them has waited long enough.
+    pub fn first(&self) -> Option<Duration> {
+        self.dues.front().map(|(by, _)| *by)
+    }
+
+    /// One that has waited long enough.
+    pub fn overdue(&mut self, now: Duration) -> Option<Unsaid> {
+        while let Some((by, number)) = self.dues.front().copied() {
+            if !self.by_number.contains_key(&number) {
+                self.dues.pop_front(); // Said long ago.
+            } else if by <= now {
+                self.dues.pop_front();
+                return self.take(number);
+            } else {
+                return None;
+            }
+        }
+        None
+    }
+}
+
 /// Ends of time, earliest first; what is no longer meant is passed over when it comes up.
 #[derive(Default)]
 pub struct Dues(BTreeSet<(Duration, DialogueId, LaunchNo)>);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -14,7 +14,8 @@
 pub use edge::Edge;
 pub use held::{Counts, Limits};
 
-use lotussaddle_trunk::Message;
+use lotussaddle::interface::DialogueId;
+use lotussaddle_trunk::{Frame, Message};
 
 /// A link of this edge proxy, named by the shell and never named again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -38,4 +39,10 @@
     /// Ends a link at once; no input of it comes any more.
     fn close(&mut self, link: LinkId, why: &str);
     fn log(&mut self, note: Note, line: &str);
+    /// Has it remembered, past the end of this process, that this dialogue has its final answer;
+    /// `Edge::recorded` tells by this number when it is. None: nothing is remembered, or not now; the answer does not
+    /// wait for it.
+    fn record(&mut self, _dialogue: &DialogueId, _answer: &Frame) -> Option<u64> {
+        None
+    }
 }
--- /dev/null
+++ b/crates/store/src/check.rs
@@ -0,0 +1,146 @@
+//! Looks at a store that nobody has open, and changes nothing.
+
+use std::time::Duration;
+
+use crate::disk::Disk;
+use crate::format::{self, OPS_AT, Op};
+use crate::snapshot;
+use crate::store::{Damage, StoreError};
+use crate::worth::{self, Worth};
+
+/// What a look at all files found.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Report {
+    pub segments: usize,
+    pub bytes: u64,
+    pub frames: u64,
+    pub puts: u64,
+    pub deletes: u64,
+    /// A torn end, which opening would cut off: nothing that was promised.
+    pub torn: Option<Damage>,
+    pub damage: Vec<Damage>,
+    /// Snapshots that cannot be read; the log is read in their place.
+    pub bad_snapshots: Vec<String>,
+}
+
+/// One operation of the log, to be shown.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Shown {
+    pub file: String,
+    pub offset: u64,
+    pub time: Duration,
+    pub what: String,
+    pub table: String,
+    pub key: Vec<u8>,
+    pub value: Vec<u8>,
+    pub expires: Option<Duration>,
+}
+
+/// Reads every byte of every file and shows each operation.
+pub fn look(disk: &mut impl Disk, mut each: impl FnMut(Shown)) -> Result<Report, StoreError> {
+    disk.lock().map_err(|error| match error.kind() {
+        std::io::ErrorKind::WouldBlock => StoreError::Locked,
+        _ => StoreError::Disk { what: "there is no store here".into(), error },
+    })?;
+    let failed = |name: &str| {
+        let what = format!("cannot read {name}");
+        move |error| StoreError::Disk { what, error }
+    };
+    let names = disk.names().map_err(failed("its folder"))?;
+    let mut report = Report::default();
+    let mut numbers: Vec<u64> = names.iter().filter_map(|name| format::segment_number(name)).collect();
+    numbers.sort_unstable();
+    let mut before: Option<(u64, bool)> = None;
+    for (place, number) in numbers.iter().enumerate() {
+        let name = format::segment_name(*number);
+        let len = disk.len(&name).map_err(failed(&name))?;
+        let mut bytes = vec![0; len as usize];
+        disk.read(&name, 0, &mut bytes).map_err(failed(&name))?;
+        report.segments += 1;
+        report.bytes += len;
+        let is_last = place + 1 == numbers.len();
+        let (mut goes_on, mut unreadable, mut frames) = (false, None, 0);
+        let worth = worth::judge(&bytes, *number, 0, is_last, |at, frame| {
+            frames += 1;
+            goes_on = worth::names_next(&frame, *number);
+            let Some(ops) = format::ops(frame.ops) else {
+                unreadable.get_or_insert(at);
+                return;
+            };
+            for (offset, _, op) in ops {
+                let mut shown = Shown {
+                    file: name.clone(),
+                    offset: at + OPS_AT + offset,
+                    time: frame.time,
+                    what: String::new(),
+                    table: String::new(),
+                    key: Vec::new(),
+                    value: Vec::new(),
+                    expires: None,
+                };
+                match op {
+                    Op::Put { table, key, expires, value } => {
+                        report.puts += 1;
+                        (shown.what, shown.table) = ("put".into(), table.into());
+                        (shown.key, shown.value, shown.expires) = (key.to_vec(), value.to_vec(), expires);
+                    }
+                    Op::Delete { table, key } => {
+                        report.deletes += 1;
+                        (shown.what, shown.table, shown.key) = ("delete".into(), table.into(), key.to_vec());
+                    }
+                    Op::Floor { segment } => shown.what = format!("floor {segment:016x}"),
+                    Op::Next { segment } => shown.what = format!("next {segment:016x}"),
+                }
+                each(shown);
+            }
+        });
+        report.frames += frames;
+        let mut damaged = |offset, what: &str| {
+            report.damage.push(Damage { file: name.clone(), offset, what: what.into() });
+        };
+        if let Some((former, named)) = before {
+            if former + 1 != *number {
+                damaged(
+                    0,
+                    &format!("the segment before it, {}, is missing", format::segment_name(number - 1)),
+                );
+            } else if !named && frames > 0 {
+                damaged(0, "the segment before it ends without naming it");
+            }
+        }
+        if let Some(at) = unreadable {
+            damaged(at, "its checksum holds and its operations cannot be read");
+        }
+        match worth {
+            Worth::Whole => {}
+            Worth::Torn { at } => {
+                report.torn = Some(Damage { file: name.clone(), offset: at, what: "a torn end".into() });
+            }
+            Worth::Unborn => {
+                report.torn =
+                    Some(Damage { file: name.clone(), offset: 0, what: "begun and not born".into() });
+            }
+            Worth::Rotten { at } => damaged(at, "what was written there cannot be read"),
+            Worth::Newer { version } => {
+                return Err(StoreError::Newer { file: name, found: version });
+            }
+        }
+        if is_last && goes_on {
+            report.damage.push(Damage {
+                file: format::segment_name(number + 1),
+                offset: 0,
+                what: "the segment is missing".into(),
+            });
+        }
+        before = Some((*number, goes_on));
+    }
+    for name in names.iter().filter(|name| snapshot::number(name).is_some()) {
+        let len = disk.len(name).map_err(failed(name))?;
+        let mut bytes = vec![0; len as usize];
+        disk.read(name, 0, &mut bytes).map_err(failed(name))?;
+        if snapshot::read(&bytes).is_none() {
+            report.bad_snapshots.push(name.clone());
+        }
+    }
+    Ok(report)
+}
--- /dev/null
+++ b/crates/store/src/keeper.rs
@@ -0,0 +1,150 @@
+//! A thread that owns a store: many writers, one sync for all that wait, background work in between.
+//!
+//! Nobody who writes waits for the disk: an order goes into a bounded channel, and what came of it comes back by a call
+//! on the keeper's thread. A full channel refuses the order at once.
+
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use lotussaddle_chores::{Budget, ChoreId, Chores};
+
+use crate::disk::Disk;
+use crate::plan::Group;
+use crate::store::{Batch, Mode, Stats, Store, Work};
+
+const STACK: usize = 256 * 1024;
+
+/// What came of a write: made as its mode says, or not, and why.
+pub type Outcome = Result<(), String>;
+
+type Done = Box<dyn FnOnce(Outcome) + Send>;
+
+enum Order {
+    Write { batch: Batch, mode: Mode, done: Done },
+    Stats(Sender<(Stats, Option<String>)>),
+}
+
+/// The channel to the store is full, or its thread is gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Busy;
+
+pub struct Keeper {
+    to: Option<Sender<Order>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Keeper {
+    /// Takes a store over. `clock` gives the store's time; `orders` is how many may wait.
+    pub fn begin<D: Disk + Send + 'static>(
+        store: Store<D>, group: Group, budget: Budget, orders: usize,
+        clock: impl Fn() -> Duration + Send + 'static,
+    ) -> std::io::Result<Self> {
+        let (to, waiting) = bounded(orders);
+        let thread = thread::Builder::new().name("store".into()).stack_size(STACK).spawn(move || {
+            let begun = Instant::now();
+            run(store, &group, Chores::new(budget), &waiting, &clock, || begun.elapsed());
+        })?;
+        Ok(Self { to: Some(to), thread: Some(thread) })
+    }
+
+    /// Orders a write; never waits.
+    pub fn write(
+        &self, batch: Batch, mode: Mode, done: impl FnOnce(Outcome) + Send + 'static,
+    ) -> Result<(), Busy> {
+        let order = Order::Write { batch, mode, done: Box::new(done) };
+        self.to.as_ref().ok_or(Busy)?.try_send(order).map_err(|_| Busy)
+    }
+
+    /// How things stand, and why no more writes are taken if so. Waits for what was ordered before.
+    pub fn stats(&self) -> Option<(Stats, Option<String>)> {
+        let (to, answer) = bounded(1);
+        self.to.as_ref()?.send(Order::Stats(to)).ok()?;
+        answer.recv().ok()
+    }
+}
+
+impl Drop for Keeper {
+    /// What was ordered is done, and the store sealed.
+    fn drop(&mut self) {
+        self.to = None;
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn chore(work: Work) -> ChoreId {
+    ChoreId(work as u32)
+}
+
+fn run<D: Disk>(
+    mut store: Store<D>, group: &Group, mut chores: Chores, waiting: &Receiver<Order>,
+    clock: &impl Fn() -> Duration, elapsed: impl Fn() -> Duration,
+) {
+    // Room first: without it nothing can be written at all.
+    chores.add(chore(Work::Compact), 2);
+    chores.add(chore(Work::Snapshot), 1);
+    loop {
+        let wait = chores.due(false).map_or(Duration::from_secs(3600), |due| due.saturating_sub(elapsed()));
+        match waiting.recv_timeout(wait) {
+            Ok(first) => commit(&mut store, group, first, waiting, clock()),
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => break,
+        }
+        for work in Work::ALL {
+            chores.wanted(elapsed(), chore(work), store.wants(work), None);
+        }
+        // One slice between two groups at most, so that nobody is held up by more.
+        if let Some(slice) = chores.next(elapsed(), !waiting.is_empty()) {
+            let work = if slice.chore == chore(Work::Compact) { Work::Compact } else { Work::Snapshot };
+            let begun = elapsed();
+            // What fails is said by the next write; it is not tried again before something changes.
+            let done = store.work_on(clock(), work, slice.bytes);
+            let more = done.is_ok() && store.wants(work);
+            chores.done(elapsed(), slice.chore, done.unwrap_or(slice.bytes), elapsed() - begun, more);
+        }
+    }
+    let _ = store.seal();
+}
+
+/// Writes all that waits, syncs once if one of them asked for it, and tells each what came of it.
+fn commit<D: Disk>(
+    store: &mut Store<D>, group: &Group, first: Order, waiting: &Receiver<Order>, now: Duration,
+) {
+    let mut writes: Vec<(Batch, Mode, Done)> = Vec::new();
+    let mut asked = Vec::new();
+    let mut bytes = 0;
+    let mut next = Some(first);
+    while let Some(order) = next {
+        match order {
+            Order::Write { batch, mode, done } => {
+                bytes += batch.size();
+                writes.push((batch, mode, done));
+            }
+            Order::Stats(to) => asked.push(to),
+        }
+        next = if group.is_full(writes.len(), bytes) { None } else { waiting.try_recv().ok() };
+    }
+    let all: Vec<&Batch> = writes.iter().map(|(batch, ..)| batch).collect();
+    let mut outcomes: Vec<Outcome> = match store.write_all(now, &all) {
+        Ok(()) => vec![Ok(()); writes.len()],
+        // One that cannot be written must not take the others with it.
+        Err(_) => all.iter().map(|batch| store.write(now, batch).map_err(|e| e.to_string())).collect(),
+    };
+    let syncs =
+        writes.iter().zip(&outcomes).any(|((_, mode, _), outcome)| *mode == Mode::Synced && outcome.is_ok());
+    if syncs && let Err(error) = store.sync() {
+        for ((_, mode, _), outcome) in writes.iter().zip(&mut outcomes) {
+            if *mode == Mode::Synced && outcome.is_ok() {
+                *outcome = Err(error.to_string());
+            }
+        }
+    }
+    for ((_, _, done), outcome) in writes.into_iter().zip(outcomes) {
+        done(outcome);
+    }
+    for to in asked {
+        let _ = to.send((store.stats(), store.closed().map(String::from)));
+    }
+}
--- a/crates/store/src/plan.rs
+++ b/crates/store/src/plan.rs
@@ -19,6 +19,26 @@
     }
 }
 
+/// How many writes go together.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Group {
+    pub writes: usize,
+    pub bytes: usize,
+}
+
+impl Default for Group {
+    fn default() -> Self {
+        Self { writes: 1024, bytes: 1 << 20 }
+    }
+}
+
+impl Group {
+    /// What waits beyond this goes with the next one, so that the first of a group is not held up by the last.
+    pub fn is_full(&self, writes: usize, bytes: usize) -> bool {
+        writes >= self.writes || bytes >= self.bytes
+    }
+}
+
 /// How things stand.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Figures {
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -138,6 +138,19 @@
     pub replayed: u64,
 }
 
+/// Work that may wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Work {
+    /// A snapshot keeps reopening short.
+    Snapshot,
+    /// Room, and with it expiry: what has expired is not copied.
+    Compact,
+}
+
+impl Work {
+    pub const ALL: [Self; 2] = [Self::Snapshot, Self::Compact];
+}
+
 /// Compaction of the oldest segment, under way.
 struct Moving {
     segment: u64,
@@ -483,18 +496,34 @@
         if batch.is_empty() {
             return Ok(());
         }
-        self.append(&batch.ops)
+        self.append(&[&batch.ops])
     }
 
-    fn append(&mut self, ops: &[u8]) -> Result<()> {
+    /// Several batches in one write, each whole or absent by itself; on an error none of them is there.
+    pub fn write_all(&mut self, now: Duration, batches: &[&Batch]) -> Result<()> {
+        self.time = self.time.max(now);
+        if let Some(wrong) = batches.iter().find_map(|batch| batch.wrong) {
+            return Err(StoreError::TooLarge(wrong));
+        }
+        let all: Vec<&[u8]> = batches.iter().filter(|b| !b.is_empty()).map(|b| b.ops.as_slice()).collect();
+        if all.is_empty() { Ok(()) } else { self.append(&all) }
+    }
+
+    fn append(&mut self, all: &[&[u8]]) -> Result<()> {
         self.is_open()?;
         if self.plan.rotates(self.segments[&self.last].len) {
             self.rotate()?;
         }
         let begin = self.segments[&self.last].len;
-        let frame = format::frame(self.last, begin, self.lasts, self.time, ops);
+        let mut bytes = Vec::new();
+        let mut frames = Vec::with_capacity(all.len());
+        for ops in all {
+            let at = begin + bytes.len() as u64;
+            frames.push((at, *ops));
+            bytes.extend(format::frame(self.last, at, self.lasts, self.time, ops));
+        }
         let name = format::segment_name(self.last);
-        if let Err(error) = self.disk.append(&name, &frame) {
+        if let Err(error) = self.disk.append(&name, &bytes) {
             // Part of it may be there: it must not stand before what comes next.
             if let Err(worse) = self.disk.truncate(&name, begin) {
                 self.closed = Some(format!("{name} could not be cut after a write that failed: {worse}"));
@@ -502,13 +531,14 @@
             return Err(StoreError::Disk { what: format!("cannot write to {name}"), error });
         }
         let segment = self.segments.get_mut(&self.last).expect("it is written to");
-        segment.len += frame.len() as u64;
-        self.since_snapshot += frame.len() as u64;
-        let found = format::ops(ops).expect("made here");
-        for (offset, len, op) in found {
-            let offset = (begin + OPS_AT + offset) as u32;
-            // The index is brought up by what is on disk: a record that cannot be read is found here.
-            self.apply(&op, Place { segment: self.last, offset, len: len as u32 })?;
+        segment.len += bytes.len() as u64;
+        self.since_snapshot += bytes.len() as u64;
+        for (at, ops) in frames {
+            for (offset, len, op) in format::ops(ops).expect("made here") {
+                let offset = (at + OPS_AT + offset) as u32;
+                // Former records are read, to be sure whose they are: one that cannot be read is found here.
+                self.apply(&op, Place { segment: self.last, offset, len: len as u32 })?;
+            }
         }
         Ok(())
     }
@@ -590,44 +620,72 @@
     /// Says in the log how much of it lasts, so that rot at its end is told from a torn end; for a pause or the end.
     pub fn seal(&mut self) -> Result<()> {
         self.sync()?;
-        self.append(&[])?;
+        self.append(&[&[]])?;
         self.sync()
     }
 
     // Work that may wait
 
-    /// Is there something to be done in the background?
-    pub fn wants_work(&self) -> bool {
+    /// Is there something of this to be done in the background?
+    pub fn wants(&self, work: Work) -> bool {
         let figures = self.figures();
-        self.closed.is_none()
-            && (self.moving.is_some()
-                || self.writing.is_some()
-                || self.plan.compacts(&figures)
-                || self.plan.takes_snapshot(&figures))
+        let wanted = match work {
+            Work::Compact => self.moving.is_some() || self.plan.compacts(&figures),
+            Work::Snapshot => self.writing.is_some() || self.plan.takes_snapshot(&figures),
+        };
+        wanted && self.closed.is_none()
     }
 
-    /// Does some of what is to be done in the background, about so many bytes of it; tells how many.
-    pub fn work(&mut self, now: Duration, budget: usize) -> Result<usize> {
+    pub fn wants_work(&self) -> bool {
+        Work::ALL.iter().any(|work| self.wants(*work))
+    }
+
+    /// Does some of it, about so many bytes; tells how many.
+    pub fn work_on(&mut self, now: Duration, work: Work, budget: usize) -> Result<usize> {
         self.time = self.time.max(now);
         self.is_open()?;
-        if self.writing.is_some() {
-            return self.go_on_writing(budget);
+        if !self.wants(work) {
+            return Ok(0);
+        }
+        match work {
+            Work::Snapshot if self.writing.is_some() => self.go_on_writing(budget),
+            Work::Snapshot => self.begin_snapshot(),
+            Work::Compact => {
+                if self.moving.is_none() {
+                    let (number, _) = self.segments.first_key_value().expect("it counts them");
+                    let segment = *number;
+                    let bytes = self.read_all(&format::segment_name(segment))?;
+                    self.moving = Some(Moving { segment, bytes, at: HEAD });
+                }
+                self.go_on_moving(budget)
+            }
         }
-        if self.moving.is_some() {
-            return self.go_on_moving(budget);
+    }
+
+    /// Does some of whatever there is.
+    pub fn work(&mut self, now: Duration, budget: usize) -> Result<usize> {
+        match Work::ALL.into_iter().find(|work| self.wants(*work)) {
+            Some(work) => self.work_on(now, work, budget),
+            None => Ok(0),
         }
-        let figures = self.figures();
-        if self.plan.compacts(&figures) {
-            let (number, _) = self.segments.first_key_value().expect("it counts them");
+    }
+
+    /// Compacts until nothing is to be gained, whatever the plan says.
+    pub fn compact(&mut self, now: Duration) -> Result<()> {
+        self.time = self.time.max(now);
+        let end = self.last;
+        while self.segments.first_key_value().is_some_and(|(number, _)| *number < end) {
+            let (number, _) = self.segments.first_key_value().expect("it is there");
             let segment = *number;
             let bytes = self.read_all(&format::segment_name(segment))?;
             self.moving = Some(Moving { segment, bytes, at: HEAD });
-            return self.go_on_moving(budget);
+            self.go_on_moving(usize::MAX)?;
         }
-        if self.plan.takes_snapshot(&figures) {
-            return self.begin_snapshot();
+        self.begin_snapshot()?;
+        while self.writing.is_some() {
+            self.go_on_writing(1 << 20)?;
         }
-        Ok(0)
+        Ok(())
     }
 
     /// Copies what is live to the end, frame by frame; then the segment is needed no more.
@@ -653,7 +711,7 @@
                     let is_newest = self.index.places(print).any(|known| known == place);
                     if is_newest && expires.is_none_or(|expires| expires > self.time) {
                         if batch.len() + len as usize > MAX_BATCH {
-                            self.append(&std::mem::take(&mut batch))?;
+                            self.append(&[&std::mem::take(&mut batch)])?;
                         }
                         format::put(&mut batch, table, key, expires, value);
                     } else if is_newest {
@@ -668,7 +726,7 @@
             moving.at += frame.len;
         }
         if !batch.is_empty() {
-            self.append(&batch)?;
+            self.append(&[&batch])?;
         }
         if (moving.at as usize) < moving.bytes.len() {
             self.moving = Some(moving);
@@ -676,7 +734,7 @@
         }
         let mut floor = Vec::new();
         format::floor(&mut floor, moving.segment + 1);
-        self.append(&floor)?;
+        self.append(&[&floor])?;
         // The copies and the floor last before the original goes.
         self.sync()?;
         self.segments.remove(&moving.segment);
