--- a/crates/store/src/index.rs
+++ b/crates/store/src/index.rs
@@ -24,9 +24,18 @@
 
 const EMPTY: Slot = Slot { print: 0, place: Place { segment: 0, offset: 0, len: 0 } };
 
-pub struct Index {
+/// One part of the index: an open-addressed table.
+struct Shard {
     slots: Vec<Slot>,
     used: usize,
+}
+
+/// In so many parts, by the top bits of the fingerprint: a part grows, and goes into a snapshot, by itself, so that no
+/// one step is as long as the whole.
+pub const SHARDS: usize = 256;
+
+pub struct Index {
+    shards: Vec<Shard>,
     /// The store's own: nobody outside can choose keys that fall together. Snapshots keep them.
     pub secret: (u64, u64),
 }
@@ -34,14 +43,18 @@
 impl Default for Index {
     fn default() -> Self {
         let draw = || std::hash::RandomState::new().build_hasher().finish();
-        Self::new((draw(), draw()), 0)
+        Self::new((draw(), draw()))
     }
 }
 
+fn shard_of(print: u64) -> usize {
+    (print >> 56) as usize
+}
+
 impl Index {
-    pub fn new(secret: (u64, u64), room: usize) -> Self {
-        let slots = (room * 4 / 3 + 1).next_power_of_two().max(16);
-        Self { slots: vec![EMPTY; slots], used: 0, secret }
+    pub fn new(secret: (u64, u64)) -> Self {
+        let shards = (0..SHARDS).map(|_| Shard { slots: vec![EMPTY; 8], used: 0 }).collect();
+        Self { shards, secret }
     }
 
     pub fn print(&self, table: &str, key: &[u8]) -> u64 {
@@ -53,25 +66,55 @@
     }
 
     pub fn len(&self) -> usize {
-        self.used
+        self.shards.iter().map(|shard| shard.used).sum()
     }
 
     pub fn is_empty(&self) -> bool {
-        self.used == 0
+        self.len() == 0
+    }
+
+    /// All places under a fingerprint; nearly always one or none.
+    pub fn places(&self, print: u64) -> impl Iterator<Item = Place> {
+        self.shards[shard_of(print)].places(print)
+    }
+
+    pub fn add(&mut self, print: u64, place: Place) {
+        self.shards[shard_of(print)].add(print, place);
+    }
+
+    pub fn remove(&mut self, print: u64, place: Place) -> bool {
+        self.shards[shard_of(print)].remove(print, place)
+    }
+
+    /// All fingerprints and places.
+    pub fn all(&self) -> impl Iterator<Item = (u64, Place)> {
+        (0..SHARDS).flat_map(|shard| self.shard(shard))
+    }
+
+    /// Those of one part.
+    pub fn shard(&self, shard: usize) -> impl Iterator<Item = (u64, Place)> {
+        let slots = self.shards[shard].slots.iter();
+        slots.filter(|slot| slot.print != 0).map(|slot| (slot.print, slot.place))
     }
 
+    /// Bytes in memory.
+    pub fn size(&self) -> usize {
+        self.shards.iter().map(|shard| shard.slots.len() * std::mem::size_of::<Slot>()).sum()
+    }
+}
+
+impl Shard {
     fn mask(&self) -> usize {
         self.slots.len() - 1
     }
 
-    /// All places under a fingerprint; nearly always one or none.
-    pub fn places(&self, print: u64) -> impl Iterator<Item = Place> {
+    fn places(&self, print: u64) -> impl Iterator<Item = Place> {
         let start = print as usize & self.mask();
         let all = (0..self.slots.len()).map(move |step| &self.slots[(start + step) & self.mask()]);
         all.take_while(|slot| slot.print != 0).filter(move |slot| slot.print == print).map(|slot| slot.place)
     }
 
-    pub fn add(&mut self, print: u64, place: Place) {
+    fn add(&mut self, print: u64, place: Place) {
         if (self.used + 1) * 4 > self.slots.len() * 3 {
             let wider = vec![EMPTY; self.slots.len() * 2];
             let former = std::mem::replace(&mut self.slots, wider);
@@ -100,16 +143,7 @@
         None
     }
 
-    /// The record has moved.
-    pub fn moved(&mut self, print: u64, from: Place, to: Place) -> bool {
-        let found = self.find(print, from);
-        if let Some(at) = found {
-            self.slots[at].place = to;
-        }
-        found.is_some()
-    }
-
-    pub fn remove(&mut self, print: u64, place: Place) -> bool {
+    fn remove(&mut self, print: u64, place: Place) -> bool {
         let Some(mut hole) = self.find(print, place) else { return false };
         // Those behind move up, so that no grave is left to walk over.
         let mut at = hole;
@@ -130,14 +164,42 @@
         self.used -= 1;
         true
     }
+}
 
-    /// All fingerprints and places.
-    pub fn all(&self) -> impl Iterator<Item = (u64, Place)> {
-        self.slots.iter().filter(|slot| slot.print != 0).map(|slot| (slot.print, slot.place))
-    }
-
-    /// Bytes in memory.
-    pub fn size(&self) -> usize {
-        self.slots.len() * std::mem::size_of::<Slot>()
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Random additions and removals, fingerprints that fall together included, against a plain set.
+    #[test]
+    fn it_holds_what_a_plain_set_holds() {
+        use rand::{RngExt, SeedableRng};
+
+        let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(1);
+        let (mut index, mut plain) = (Index::new((1, 2)), std::collections::BTreeSet::new());
+        for step in 0..60_000u32 {
+            // Few homes, so that runs grow long and wrap.
+            let print = (rng.random_range(0..3u64) << 56) + rng.random_range(1..40u64) * 7;
+            let place = Place { segment: rng.random_range(0..3), offset: rng.random_range(0..4), len: 1 };
+            let grows = step / 10_000 % 2 == 0;
+            if rng.random_range(0..10) < if grows { 7 } else { 3 } {
+                if plain.insert((print, place)) {
+                    index.add(print, place);
+                }
+            } else {
+                assert_eq!(index.remove(print, place), plain.remove(&(print, place)));
+            }
+            if step % 97 == 0 {
+                let mut there: Vec<Place> = index.places(print).collect();
+                there.sort();
+                let wanted: Vec<Place> =
+                    plain.iter().filter(|(p, _)| *p == print).map(|(_, at)| *at).collect();
+                assert_eq!(there, wanted);
+                assert_eq!(index.len(), plain.len());
+            }
+        }
+        let mut all: Vec<(u64, Place)> = index.all().collect();
+        all.sort();
+        assert_eq!(all, plain.into_iter().collect::<Vec<_>>());
     }
 }
--- a/crates/store/src/keeper.rs
+++ b/crates/store/src/keeper.rs
@@ -85,6 +85,7 @@
     // Room first: without it nothing can be written at all.
     chores.add(chore(Work::Compact), 2);
     chores.add(chore(Work::Snapshot), 1);
+    chores.add(chore(Work::Flush), 3);
     loop {
         let wait = chores.due(false).map_or(Duration::from_secs(3600), |due| due.saturating_sub(elapsed()));
         match waiting.recv_timeout(wait) {
@@ -97,7 +98,7 @@
         }
         // One slice between two groups at most, so that nobody is held up by more.
         if let Some(slice) = chores.next(elapsed(), !waiting.is_empty()) {
-            let work = if slice.chore == chore(Work::Compact) { Work::Compact } else { Work::Snapshot };
+            let work = Work::ALL.into_iter().find(|work| chore(*work) == slice.chore).expect("added above");
             let begun = elapsed();
             // What fails is said by the next write; it is not tried again before something changes.
             let done = store.work_on(clock(), work, slice.bytes);
--- a/crates/store/src/plan.rs
+++ b/crates/store/src/plan.rs
@@ -11,11 +11,22 @@
     pub least: u64,
     /// A snapshot is taken when so many bytes were written since the last, and no fewer than are live.
     pub snapshot: u64,
+    /// Bytes that were written and not synced are synced in the background beyond this.
+    pub unsynced: u64,
+    /// What a new store's index is keyed by; none: drawn from the system. Fixed, a store is the same each time.
+    pub secret: Option<(u64, u64)>,
 }
 
 impl Default for Plan {
     fn default() -> Self {
-        Self { segment: 4 << 20, space: 1.7, least: 8 << 20, snapshot: 16 << 20 }
+        Self {
+            segment: 4 << 20,
+            space: 1.7,
+            least: 8 << 20,
+            snapshot: 16 << 20,
+            unsynced: 256 << 10,
+            secret: None,
+        }
     }
 }
 
@@ -65,6 +76,10 @@
         figures.since_snapshot > self.snapshot.max(figures.live / 2)
     }
 
+    pub fn flushes(&self, unsynced: u64) -> bool {
+        unsynced > self.unsynced
+    }
+
     pub fn rotates(&self, segment: u64) -> bool {
         segment >= self.segment
     }
@@ -74,7 +89,8 @@
 mod tests {
     use super::*;
 
-    const PLAN: Plan = Plan { segment: 100, space: 2.0, least: 50, snapshot: 1000 };
+    const PLAN: Plan =
+        Plan { segment: 100, space: 2.0, least: 50, snapshot: 1000, unsynced: 10, secret: None };
 
     #[test]
     fn the_oldest_goes_when_it_is_dead_or_room_is_short() {
--- a/crates/store/src/snapshot.rs
+++ b/crates/store/src/snapshot.rs
@@ -1,9 +1,13 @@
-//! The index as it was at a place of the log, in one checksummed file: reopening reads that and the log behind it.
+//! The index as it was from a place of the log on, in one checksummed file: reopening reads that and the log behind it.
+//!
+//! It is written part by part while writes go on: each part of the index is as it was when it was its turn. That is enough,
+//! since a key is in one part only, and what happened to it after the place named at the head is in the log and is
+//! gone through again.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::index::{Index, Place};
+use crate::index::{Index, Place, SHARDS};
 use crate::store::Segment;
 
 const MAGIC: &[u8; 4] = b"LSNP";
@@ -11,7 +15,7 @@
 
 /// A snapshot that could be read.
 pub struct Snapshot {
-    /// The log up to here is in it.
+    /// What follows this place of the log is to be gone through.
     pub segment: u64,
     pub offset: u64,
     pub floor: u64,
@@ -28,30 +32,37 @@
     u64::from_str_radix(name.strip_prefix("snap-").filter(|n| n.len() == 16)?, 16).ok()
 }
 
-/// The bytes of a snapshot file; its checksum is at the end.
-pub fn write(
+fn put(out: &mut Vec<u8>, number: u64) {
+    out.extend(number.to_le_bytes());
+}
+
+/// How a snapshot file begins.
+pub fn head(
     at: (u64, u64), floor: u64, time: Duration, segments: &BTreeMap<u64, Segment>, index: &Index,
 ) -> Vec<u8> {
     let mut out = MAGIC.to_vec();
     out.extend(VERSION.to_le_bytes());
-    let mut put = |number: u64| out.extend(number.to_le_bytes());
     for number in [at.0, at.1, floor, time.as_micros() as u64, index.secret.0, index.secret.1] {
-        put(number);
+        put(&mut out, number);
     }
-    put(segments.len() as u64);
+    put(&mut out, segments.len() as u64);
     for (number, segment) in segments {
-        for figure in [*number, segment.len, segment.live, segment.until] {
-            put(figure);
+        for figure in [*number, segment.len, segment.until] {
+            put(&mut out, figure);
         }
     }
-    put(index.len() as u64);
-    for (print, place) in index.all() {
-        put(print);
-        put(place.segment);
-        put(u64::from(place.offset) | u64::from(place.len) << 32);
+    out
+}
+
+/// One part of the index.
+pub fn part(index: &Index, shard: usize) -> Vec<u8> {
+    let mut out = Vec::new();
+    put(&mut out, index.shard(shard).count() as u64);
+    for (print, place) in index.shard(shard) {
+        put(&mut out, print);
+        put(&mut out, place.segment);
+        put(&mut out, u64::from(place.offset) | u64::from(place.len) << 32);
     }
-    let sum = crc32c::crc32c(&out);
-    out.extend(sum.to_le_bytes());
     out
 }
 
@@ -65,20 +76,17 @@
     let mut rest = body[6..].chunks_exact(8).map(|n| u64::from_le_bytes(n.try_into().expect("eight bytes")));
     let mut next = || rest.next();
     let (segment, offset, floor, time) = (next()?, next()?, next()?, Duration::from_micros(next()?));
-    let secret = (next()?, next()?);
+    let mut index = Index::new((next()?, next()?));
     let mut segments = BTreeMap::new();
     for _ in 0..next()? {
-        let (number, len, live, until) = (next()?, next()?, next()?, next()?);
-        segments.insert(number, Segment { len, live, until });
-    }
-    let count = next()?;
-    if count > body.len() as u64 / 24 {
-        return None;
+        let (number, len, until) = (next()?, next()?, next()?);
+        segments.insert(number, Segment { len, live: 0, until });
     }
-    let mut index = Index::new(secret, count as usize);
-    for _ in 0..count {
-        let (print, segment, rest) = (next()?, next()?, next()?);
-        index.add(print, Place { segment, offset: rest as u32, len: (rest >> 32) as u32 });
+    for _ in 0..SHARDS {
+        for _ in 0..next()? {
+            let (print, segment, rest) = (next()?, next()?, next()?);
+            index.add(print, Place { segment, offset: rest as u32, len: (rest >> 32) as u32 });
+        }
     }
     Some(Snapshot { segment, offset, floor, time, segments, index })
 }
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -8,7 +8,7 @@
 
 use crate::disk::Disk;
 use crate::format::{self, HEAD, MAX_BATCH, MAX_KEY, MAX_TABLE, MAX_VALUE, OPS_AT, Op};
-use crate::index::{Index, Place};
+use crate::index::{Index, Place, SHARDS};
 use crate::plan::{Figures, Plan};
 use crate::snapshot::{self, Snapshot};
 use crate::worth::{self, Worth};
@@ -145,10 +145,12 @@
     Snapshot,
     /// Room, and with it expiry: what has expired is not copied.
     Compact,
+    /// What was only written is made to last by and by, so that a sync never finds much to do.
+    Flush,
 }
 
 impl Work {
-    pub const ALL: [Self; 2] = [Self::Snapshot, Self::Compact];
+    pub const ALL: [Self; 3] = [Self::Snapshot, Self::Compact, Self::Flush];
 }
 
 /// Compaction of the oldest segment, under way.
@@ -162,8 +164,11 @@
 /// A snapshot being written.
 struct Writing {
     name: String,
-    bytes: Vec<u8>,
-    done: usize,
+    /// The next part of the index.
+    shard: usize,
+    sum: u32,
+    /// The log up to here must last before the snapshot may be believed.
+    needs: (u64, u64),
 }
 
 pub struct Store<D> {
@@ -198,10 +203,11 @@
         for name in names.iter().filter(|name| name.ends_with(".new")) {
             at("remove", name, disk.remove(name))?;
         }
+        let index = plan.secret.map_or_else(Index::default, Index::new);
         let mut store = Self {
             disk,
             plan,
-            index: Index::default(),
+            index,
             segments: BTreeMap::new(),
             last: 0,
             lasts: 0,
@@ -241,7 +247,8 @@
             let (worth, frames, _) = self.look(last, if last == from.0 { from.1 } else { 0 })?;
             let empty = worth == Worth::Unborn || frames == 0 && worth == Worth::Whole;
             // Once the one before it has named it, it lasts, used or not; so does one that a snapshot knows.
-            let named = there.len() > 1 && self.look(last - 1, 0)?.2 || last == from.0 && from.1 > 0;
+            let before = there.len() > 1 && (!there.contains(&(last - 1)) || self.look(last - 1, 0)?.2);
+            let named = before || last == from.0 && from.1 > 0;
             if !empty || named || there.len() == 1 && worth != Worth::Unborn {
                 break;
             }
@@ -253,11 +260,16 @@
         if !snapshots.is_empty() && there.last().is_none_or(|last| *last < from.0) {
             return Err(missing(from.0));
         }
+        // A snapshot's later parts know of records that are gone through only now: they must be found to be replaced.
+        for number in &there {
+            self.segments.entry(*number).or_default();
+        }
         for number in there.iter().copied().filter(|number| *number >= from.0) {
             let start = if number == from.0 { from.1 } else { 0 };
             self.replay(number, start, Some(number) == there.last().copied())?;
         }
         self.settle_floor(&there)?;
+        self.count_live();
         self.last = there.last().copied().unwrap_or_default();
         if there.is_empty() {
             self.begin_segment(self.floor)?;
@@ -303,6 +315,16 @@
         absent.filter(|_| !there.is_empty() || floor > 0).map_or(Ok(()), |number| Err(missing(number)))
     }
 
+    /// A snapshot's parts are of different moments, so that only the whole index tells what is live.
+    fn count_live(&mut self) {
+        self.segments.values_mut().for_each(|segment| segment.live = 0);
+        for (_, place) in self.index.all() {
+            if let Some(segment) = self.segments.get_mut(&place.segment) {
+                segment.live += u64::from(place.len);
+            }
+        }
+    }
+
     fn read_all(&mut self, name: &str) -> Result<Vec<u8>> {
         let len = at("read", name, self.disk.len(name))?;
         let mut bytes = vec![0; len as usize];
@@ -632,6 +654,7 @@
         let wanted = match work {
             Work::Compact => self.moving.is_some() || self.plan.compacts(&figures),
             Work::Snapshot => self.writing.is_some() || self.plan.takes_snapshot(&figures),
+            Work::Flush => self.plan.flushes(self.segments[&self.last].len - self.lasts),
         };
         wanted && self.closed.is_none()
     }
@@ -650,6 +673,10 @@
         match work {
             Work::Snapshot if self.writing.is_some() => self.go_on_writing(budget),
             Work::Snapshot => self.begin_snapshot(),
+            Work::Flush => {
+                let bytes = self.segments[&self.last].len - self.lasts;
+                self.sync().map(|()| bytes as usize)
+            }
             Work::Compact => {
                 if self.moving.is_none() {
                     let (number, _) = self.segments.first_key_value().expect("it counts them");
@@ -747,36 +774,51 @@
     }
 
     fn begin_snapshot(&mut self) -> Result<usize> {
-        // A snapshot must never know of what the log may lose.
-        self.sync()?;
         let here = (self.last, self.segments[&self.last].len);
-        let bytes = snapshot::write(here, self.floor, self.time, &self.segments, &self.index);
+        let bytes = snapshot::head(here, self.floor, self.time, &self.segments, &self.index);
         let name = format!("{}.new", snapshot::name(self.next_snapshot));
         let _ = self.disk.remove(&name); // Left by one that failed.
         at("create", &name, self.disk.create(&name))?;
-        self.writing = Some(Writing { name, bytes, done: 0 });
         self.since_snapshot = 0;
-        Ok(1)
+        let writing = Writing { name, shard: 0, sum: 0, needs: here };
+        self.add_to_snapshot(writing, &bytes).map(|()| bytes.len())
     }
 
-    fn go_on_writing(&mut self, budget: usize) -> Result<usize> {
-        let Some(mut writing) = self.writing.take() else { return Ok(0) };
-        let end = (writing.done + budget.max(1)).min(writing.bytes.len());
-        let part = &writing.bytes[writing.done..end];
-        if let Err(error) = self.disk.append(&writing.name, part) {
-            // It can be done without: it is tried again when more has been written.
+    /// Goes on with it; one that fails can be done without, and is begun anew when more has been written.
+    fn add_to_snapshot(&mut self, mut writing: Writing, bytes: &[u8]) -> Result<()> {
+        if let Err(error) = self.disk.append(&writing.name, bytes) {
             let _ = self.disk.remove(&writing.name);
             return Err(StoreError::Disk { what: format!("cannot write {}", writing.name), error });
         }
-        let done = end - writing.done;
-        writing.done = end;
-        if end < writing.bytes.len() {
-            self.writing = Some(writing);
-            return Ok(done);
+        writing.sum = crc32c::crc32c_append(writing.sum, bytes);
+        writing.needs = (self.last, self.segments[&self.last].len);
+        self.writing = Some(writing);
+        Ok(())
+    }
+
+    fn go_on_writing(&mut self, budget: usize) -> Result<usize> {
+        let Some(mut writing) = self.writing.take() else { return Ok(0) };
+        let mut bytes = Vec::new();
+        while writing.shard < SHARDS && bytes.len() < budget.max(1) {
+            bytes.extend(snapshot::part(&self.index, writing.shard));
+            writing.shard += 1;
+        }
+        if !bytes.is_empty() {
+            let done = bytes.len();
+            return self.add_to_snapshot(writing, &bytes).map(|()| done);
+        }
+        // A snapshot must never know of what the log may lose: its parts were taken while writes went on.
+        if writing.needs.0 == self.last && writing.needs.1 > self.lasts {
+            self.sync()?;
         }
+        self.finish_snapshot(&writing).map(|()| 1)
+    }
+
+    fn finish_snapshot(&mut self, writing: &Writing) -> Result<()> {
         let number = self.next_snapshot;
         let name = snapshot::name(number);
-        let lasts = self.disk.sync(&writing.name);
+        let ended = self.disk.append(&writing.name, &writing.sum.to_le_bytes());
+        let lasts = ended.and_then(|()| self.disk.sync(&writing.name));
         let lasts = lasts.and_then(|()| self.disk.rename(&writing.name, &name));
         at("finish", &name, lasts.and_then(|()| self.disk.sync_names()))?;
         self.next_snapshot += 1;
@@ -785,7 +827,7 @@
                 at("remove", &former, self.disk.remove(&former))?;
             }
         }
-        Ok(done)
+        Ok(())
     }
 
     /// Gives the disk back, as a process that ends does: nothing is made to last.
--- a/crates/store/tests/crashes.rs
+++ b/crates/store/tests/crashes.rs
@@ -11,7 +11,7 @@
 
 /// Small segments, so that a short workload rotates, compacts and takes snapshots.
 fn plan() -> Plan {
-    Plan { segment: 600, space: 2.0, least: 1500, snapshot: 1500 }
+    Plan { segment: 600, space: 2.0, least: 1500, snapshot: 1500, unsynced: 300, secret: Some((1, 2)) }
 }
 
 type Model = BTreeMap<Vec<u8>, Vec<u8>>;
@@ -29,7 +29,8 @@
 /// A step of a workload: some changes that go together.
 #[derive(Clone, Debug)]
 struct Change {
-    puts: Vec<(u8, Vec<u8>)>,
+    /// The last says that it has expired already, so that nobody is to see it.
+    puts: Vec<(u8, Vec<u8>, bool)>,
     deletes: Vec<u8>,
     synced: bool,
 }
@@ -41,7 +42,9 @@
         (0..len).map(|_| rng.random()).collect()
     };
     let change = |rng: &mut Pcg64Mcg| Change {
-        puts: (0..rng.random_range(0..3)).map(|_| (rng.random_range(0..12), value(rng))).collect(),
+        puts: (0..rng.random_range(0..3))
+            .map(|_| (rng.random_range(0..12), value(rng), rng.random_range(0..6) == 0))
+            .collect(),
         deletes: (0..rng.random_range(0..2)).map(|_| rng.random_range(0..12)).collect(),
         synced: rng.random_range(0..3) > 0,
     };
@@ -50,8 +53,8 @@
 
 fn batch(change: &Change) -> Batch {
     let mut batch = Batch::default();
-    for (key, value) in &change.puts {
-        batch.put("t", &[*key], None, value);
+    for (key, value, expired) in &change.puts {
+        batch.put("t", &[*key], expired.then_some(NOW), value);
     }
     for key in &change.deletes {
         batch.delete("t", &[*key]);
@@ -61,8 +64,12 @@
 
 fn model_after(model: &mut Model, change: &Change) {
     let name = |key: &u8| [b"t/", [*key].as_slice()].concat();
-    for (key, value) in &change.puts {
-        model.insert(name(key), value.clone());
+    for (key, value, expired) in &change.puts {
+        if *expired {
+            model.remove(&name(key));
+        } else {
+            model.insert(name(key), value.clone());
+        }
     }
     for key in &change.deletes {
         model.remove(&name(key));
@@ -253,7 +260,11 @@
     let mut store = Store::open(SimDisk::new(8), Plan { snapshot: u64::MAX, space: 1e9, ..plan() }).unwrap();
     let mut models = vec![Model::new()];
     // Nothing synced by itself: cuts are then torn writes, not broken promises.
-    let changes: Vec<Change> = workload(8, 40).into_iter().map(|c| Change { synced: false, ..c }).collect();
+    // Nor expired: a segment that is dead goes, and that is synced.
+    let lives = |c: Change| c.puts.into_iter().map(|(key, value, _)| (key, value, false)).collect();
+    let changes = workload(8, 40).into_iter();
+    let changes: Vec<Change> =
+        changes.map(|c| Change { synced: false, puts: lives(c.clone()), ..c }).collect();
     run(&mut store, &changes, &mut models);
     let mut disk = store.into_disk();
     disk.restart();
@@ -335,7 +346,7 @@
 #[test]
 fn failing_operations_by_seed() {
     let (mut closed, mut failed) = (0, 0);
-    for seed in 0..300 {
+    for seed in 0..600 {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let mut disk = SimDisk::new(seed);
         disk.faults.fail_at = (0..rng.random_range(1..5)).map(|_| rng.random_range(5..200)).collect();
