--- a/crates/numbers/src/analysis.rs
+++ b/crates/numbers/src/analysis.rs
@@ -52,7 +52,11 @@
     Route(Route),
     Refuse(Refusal),
     /// Has this number moved? [`Analysis::told`] or [`Analysis::gives_up`] goes on.
-    Ask { number: Digits, late: Late, within: Duration },
+    Ask {
+        number: Digits,
+        late: Late,
+        within: Duration,
+    },
 }
 
 /// Goes by one generation, one moment and one lot, however long its look-up takes.
@@ -95,7 +99,8 @@
             Err(why) => Step::Refuse(Refusal::Undiallable(why.to_string())),
             Ok(read) => {
                 (analysis.number, analysis.form) = (read.number, read.form);
-                analysis.say(|| format!("plan {}: {dialled} is {} ({:?})", plan.name, read.number, read.form));
+                analysis
+                    .say(|| format!("plan {}: {dialled} is {} ({:?})", plan.name, read.number, read.form));
                 analysis.table(table, read.number)
             }
         };
@@ -178,7 +183,9 @@
             let (name, way) = tables.way(at);
             let table = match way {
                 Way::Route { group, product, first, width } => {
-                    self.say(|| format!("way {name}: trunk group {group}, product {product:?}, first {first:?}"));
+                    self.say(|| {
+                        format!("way {name}: trunk group {group}, product {product:?}, first {first:?}")
+                    });
                     return Step::Route(Route {
                         group: *group,
                         product: *product,
--- a/crates/numbers/src/check.rs
+++ b/crates/numbers/src/check.rs
@@ -3,8 +3,8 @@
 
 use std::collections::BTreeSet;
 
-use crate::draft::{Draft, Way, WayId};
 use crate::Digits;
+use crate::draft::{Draft, Way, WayId};
 
 /// Tables and ways that a number goes through, at most.
 pub const LONGEST_CHAIN: usize = 16;
@@ -58,7 +58,8 @@
         }
         let deepest = seen.iter().filter(|(_, depth)| **depth == Some(LONGEST_CHAIN + 1));
         for (place, _) in deepest {
-            let what = format!("{} leads through more than {LONGEST_CHAIN} tables and ways", self.name(*place));
+            let what =
+                format!("{} leads through more than {LONGEST_CHAIN} tables and ways", self.name(*place));
             wrong.push((*place, what));
         }
         wrong
@@ -154,6 +155,8 @@
 /// An emergency number that is not put through whenever and however it is dialled.
 pub fn emergency(net: &Net, table: usize, number: Digits, way: Option<WayId>) -> Option<(Place, String)> {
     let through = way.is_some_and(|way| net.always_routes(way));
-    let what = || format!("emergency number {number} is not put through at all hours by table {}", net.tables[table].0);
+    let what = || {
+        format!("emergency number {number} is not put through at all hours by table {}", net.tables[table].0)
+    };
     (!through).then(|| (Place::Table(table), what()))
 }
--- a/crates/numbers/src/dial_plan.rs
+++ b/crates/numbers/src/dial_plan.rs
@@ -97,9 +97,10 @@
         if self.short.contains(&digits) {
             return own(Form::Short);
         }
-        let extension = self.extensions.iter().find(|e| {
-            e.from.len() == digits.len() && (e.from..=e.to).contains(&digits)
-        });
+        let extension = self
+            .extensions
+            .iter()
+            .find(|e| e.from.len() == digits.len() && (e.from..=e.to).contains(&digits));
         if let Some(extension) = extension {
             return match extension.put {
                 None => own(Form::Extension),
--- a/crates/numbers/src/draft.rs
+++ b/crates/numbers/src/draft.rs
@@ -186,9 +186,14 @@
 fn from_time(root: &Block) -> Option<Timestamp> {
     let node = root.maybe("from")?;
     let text = node.text(0)?;
-    let read = text.parse::<Timestamp>().ok().or_else(|| text.parse::<jiff::ZonedDateTime>().ok().map(|z| z.timestamp()));
+    let read = text
+        .parse::<Timestamp>()
+        .ok()
+        .or_else(|| text.parse::<jiff::ZonedDateTime>().ok().map(|z| z.timestamp()));
     if read.is_none() {
-        node.wrong("from wants a time such as \"2026-12-31T23:00:00Z\" or \"2027-01-01T00:00+01:00[Europe/Berlin]\"");
+        node.wrong(
+            "from wants a time such as \"2026-12-31T23:00:00Z\" or \"2027-01-01T00:00+01:00[Europe/Berlin]\"",
+        );
     }
     read
 }
@@ -196,7 +201,8 @@
 impl Loaded {
     /// Reads a generation, or a change of one that `base` gives. What is wrong is noted in the sheet.
     pub fn read(
-        root: &Block, name: &str, known: &Known, lines: Lines, base: &dyn Fn(&str) -> Option<std::sync::Arc<Tables>>,
+        root: &Block, name: &str, known: &Known, lines: Lines,
+        base: &dyn Fn(&str) -> Option<std::sync::Arc<Tables>>,
     ) -> Self {
         match root.maybe("of") {
             Some(node) => Self::Change(Change::read(root, node, name, known, base)),
@@ -278,10 +284,12 @@
 
 impl Change {
     fn read(
-        root: &Block, of: Node, name: &str, known: &Known, base: &dyn Fn(&str) -> Option<std::sync::Arc<Tables>>,
+        root: &Block, of: Node, name: &str, known: &Known,
+        base: &dyn Fn(&str) -> Option<std::sync::Arc<Tables>>,
     ) -> Self {
         let of_name = of.text(0).unwrap_or_default();
-        let mut change = Self { name: name.into(), of: of_name.clone(), from: from_time(root), ..Self::default() };
+        let mut change =
+            Self { name: name.into(), of: of_name.clone(), from: from_time(root), ..Self::default() };
         let Some(base) = base(&of_name) else {
             of.wrong(format!("generation {of_name} is not here to be changed"));
             for name in ["way", "table"] {
--- a/crates/numbers/src/generations.rs
+++ b/crates/numbers/src/generations.rs
@@ -125,7 +125,11 @@
             Order::Drop { of } => {
                 let before = self.timed.len();
                 self.timed.retain(|(_, waiting), _| *waiting != of);
-                if self.timed.len() < before { Ok(Swapped::Dropped(serial)) } else { Err(NoSwap::NotWaiting(of)) }
+                if self.timed.len() < before {
+                    Ok(Swapped::Dropped(serial))
+                } else {
+                    Err(NoSwap::NotWaiting(of))
+                }
             }
         };
         done.unwrap_or_else(|why| Swapped::Not(serial, why))
--- a/crates/numbers/src/lib.rs
+++ b/crates/numbers/src/lib.rs
@@ -21,7 +21,7 @@
 pub use dial_plan::{DialPlan, Dialled, Extension, Form, Undiallable};
 pub use digits::{Digits, NoDigits};
 pub use draft::{Change, Draft, Group, Known, Lines, Loaded, TableDraft, TenantDraft, Way, WayId, no_lines};
-pub use generations::{Generations, NoSwap, Order, Swapped, MOST_ALIVE, MOST_STAGED};
+pub use generations::{Generations, MOST_ALIVE, MOST_STAGED, NoSwap, Order, Swapped};
 pub use plain::Plain;
 pub use prefixes::{Prefixes, range};
 pub use schedule::{Hours, Schedule};
--- a/crates/numbers/src/plain.rs
+++ b/crates/numbers/src/plain.rs
@@ -67,7 +67,8 @@
                     }
                     Way::Shares(shares) => at_way = drawn(shares, lot, at_way),
                     Way::Rewrite { strip, put, table: next } => {
-                        let Some(new) = put.join(by.signs().skip(*strip)).filter(|new| !new.is_empty()) else {
+                        let Some(new) = put.join(by.signs().skip(*strip)).filter(|new| !new.is_empty())
+                        else {
                             return Step::Refuse(Refusal::NoNumber);
                         };
                         by = new;
@@ -107,7 +108,9 @@
     }
 
     /// The number that would be looked up, and how long its answer may be waited for.
-    pub fn asks(&self, tenant: Option<u16>, dialled: &str, at: Timestamp, lot: u64) -> Option<(Digits, Duration)> {
+    pub fn asks(
+        &self, tenant: Option<u16>, dialled: &str, at: Timestamp, lot: u64,
+    ) -> Option<(Digits, Duration)> {
         let asked = std::cell::Cell::new(None);
         let _ = self.analyse(tenant, dialled, at, lot, &|number| {
             asked.set(Some(number));
--- a/crates/numbers/src/prefixes.rs
+++ b/crates/numbers/src/prefixes.rs
@@ -220,7 +220,11 @@
     pub fn bytes(&self) -> usize {
         let chunk = |chunk: &Arc<Chunk>| {
             // Two counts of the shared pointer, and the allocator's head of each piece.
-            size_of::<Chunk>() + 16 + 3 * 16 + chunk.keys.capacity() * 8 + chunk.tails.capacity() * size_of::<Tail>()
+            size_of::<Chunk>()
+                + 16
+                + 3 * 16
+                + chunk.keys.capacity() * 8
+                + chunk.tails.capacity() * size_of::<Tail>()
         };
         let index: usize = self.index.iter().map(|keys| keys.capacity() * 8).sum();
         size_of::<Self>() + index + self.chunks.capacity() * 8 + self.chunks.iter().map(chunk).sum::<usize>()
--- a/crates/numbers/src/schedule.rs
+++ b/crates/numbers/src/schedule.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 
+use jiff::Timestamp;
 use jiff::civil::{Date, Time, Weekday};
 use jiff::tz::TimeZone;
-use jiff::Timestamp;
 
 /// From a minute of the day to another, the last one left out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,8 +50,7 @@
 
     /// Hours over midnight are those of two days.
     pub fn over_midnight(self) -> Option<(Self, Self)> {
-        (self.to <= self.from)
-            .then_some((Self { from: self.from, to: 1440 }, Self { from: 0, to: self.to }))
+        (self.to <= self.from).then_some((Self { from: self.from, to: 1440 }, Self { from: 0, to: self.to }))
     }
 }
 
--- a/crates/numbers/src/tables.rs
+++ b/crates/numbers/src/tables.rs
@@ -158,7 +158,11 @@
     /// What would be wrong with this generation after a change.
     pub fn check_change(&self, change: &Change) -> Vec<(Place, String)> {
         let inside = |way: &WayId| (way.0 as usize) < self.ways.len() + change.ways.len();
-        if !change.puts.iter().all(|(table, _, way)| *table < self.tables.len() && way.as_ref().is_none_or(inside)) {
+        if !change
+            .puts
+            .iter()
+            .all(|(table, _, way)| *table < self.tables.len() && way.as_ref().is_none_or(inside))
+        {
             return Vec::new(); // What is not known has been told.
         }
         let mut added: BTreeMap<usize, Vec<WayId>> = BTreeMap::new();
@@ -193,7 +197,9 @@
 }
 
 /// True where two generations lead these numbers to the same prefixes and ways, by name: for tests and tools.
-pub fn same_everywhere(one: &Tables, other: &Tables, table: usize, numbers: impl IntoIterator<Item = Digits>) -> bool {
+pub fn same_everywhere(
+    one: &Tables, other: &Tables, table: usize, numbers: impl IntoIterator<Item = Digits>,
+) -> bool {
     let name = |tables: &Tables, number| {
         tables.find(table, number).map(|(prefix, way)| (prefix, tables.way(way).0.clone()))
     };
--- a/crates/numbers/tests/analysis.rs
+++ b/crates/numbers/tests/analysis.rs
@@ -86,15 +86,15 @@
              prefix "+4930120" "barred"; lines "many.txt"; prefix "4" "south" }"#,
     ));
     for (dialled, out) in [
-        ("08", None),                // too short
-        ("089333", Some(0)),         // +49
-        ("100555", Some(1)),         // +4930100..
+        ("08", None),        // too short
+        ("089333", Some(0)), // +49
+        ("100555", Some(1)), // +4930100..
         ("149555", Some(1)),
         ("150555", Some(0)),
-        ("00493222222", Some(1)),    // many.txt
+        ("00493222222", Some(1)), // many.txt
         ("112", Some(0)),
-        ("401", Some(1)),            // extension
-        ("115", None),               // no prefix
+        ("401", Some(1)), // extension
+        ("115", None),    // no prefix
         ("+331234567", None),
     ] {
         assert_eq!(group(&begin(&tables, dialled).1), out, "{dialled}");
@@ -171,7 +171,12 @@
 fn a_chain_is_bounded_when_it_is_read() {
     let chain = |long: usize| {
         let ways: String = (0..long)
-            .map(|n| format!("way \"w{n}\" {{ share 1 \"{}\" }}\n", if n + 1 < long { format!("w{}", n + 1) } else { "north".into() }))
+            .map(|n| {
+                format!(
+                    "way \"w{n}\" {{ share 1 \"{}\" }}\n",
+                    if n + 1 < long { format!("w{}", n + 1) } else { "north".into() }
+                )
+            })
             .collect();
         whole(&format!("{ways}table \"main\" {{ prefix \"112\" \"rescue\"; prefix \"+49\" \"w0\" }}"))
     };
@@ -251,7 +256,11 @@
     let (mut analysis, step) = begin(&tables(&text), "089333");
     assert!(matches!(step, Step::Ask { .. }));
     assert_eq!(group(&analysis.told(Digits::parse("+4989334").ok())), Some(1));
-    assert!(analysis.trace().iter().any(|line| line.contains("not looked up again")), "{:?}", analysis.trace());
+    assert!(
+        analysis.trace().iter().any(|line| line.contains("not looked up again")),
+        "{:?}",
+        analysis.trace()
+    );
     // Tables that lead back to a look-up are refused as a circle.
     let back = MOVES.replace("otherwise \"barred\"", "otherwise \"moved\"");
     assert!(mistakes(&whole(&back)).contains("a circle: table carriers, way moved, table carriers"));
@@ -264,10 +273,16 @@
     let mut generations = Generations::default();
     let swap = |generations: &mut Generations, tables: &Arc<Tables>, serial, name: &str| {
         generations.stage(tables.clone());
-        generations.order(S * serial as u32, noon(), serial, Order::Swap { name: name.into(), at: Duration::ZERO })
+        generations.order(
+            S * serial as u32,
+            noon(),
+            serial,
+            Order::Swap { name: name.into(), at: Duration::ZERO },
+        )
     };
     assert_eq!(swap(&mut generations, &old, 1, "g"), Swapped::InForce(1, "g".into()));
-    let (mut analysis, _) = Analysis::begin(generations.in_force().unwrap().clone(), None, "089333", noon(), 1, false);
+    let (mut analysis, _) =
+        Analysis::begin(generations.in_force().unwrap().clone(), None, "089333", noon(), 1, false);
     swap(&mut generations, &new, 2, "g");
     assert_eq!(group(&analysis.told(Digits::parse("+499991").ok())), Some(1));
     assert!(Arc::ptr_eq(analysis.tables(), &old) && Arc::ptr_eq(generations.in_force().unwrap(), &new));
@@ -326,13 +341,25 @@
     // By hand at the same moment: what was timed for it comes first, by its time, then the hand.
     assert_eq!(generations.next_due(), Some(S * 10));
     assert_eq!(generations.alarm(S * 10, noon()), [Swapped::InForce(2, "midnight".into())]);
-    assert_eq!(generations.order(S * 10, noon(), 3, swap("hand", S * 10)), Swapped::InForce(3, "hand".into()));
+    assert_eq!(
+        generations.order(S * 10, noon(), 3, swap("hand", S * 10)),
+        Swapped::InForce(3, "hand".into())
+    );
     // Whoever wants the swap undone that is not the last one any more undoes nothing.
-    assert_eq!(generations.order(S * 11, noon(), 4, Order::Undo { of: 2 }), Swapped::Not(4, NoSwap::NotLast(2)));
-    assert_eq!(generations.order(S * 11, noon(), 5, Order::Undo { of: 3 }), Swapped::InForce(5, "midnight".into()));
+    assert_eq!(
+        generations.order(S * 11, noon(), 4, Order::Undo { of: 2 }),
+        Swapped::Not(4, NoSwap::NotLast(2))
+    );
+    assert_eq!(
+        generations.order(S * 11, noon(), 5, Order::Undo { of: 3 }),
+        Swapped::InForce(5, "midnight".into())
+    );
     // An order that comes twice is carried out once.
     assert_eq!(generations.order(S * 12, noon(), 5, Order::Undo { of: 5 }), Swapped::Not(5, NoSwap::Used(5)));
-    assert_eq!(generations.order(S * 12, noon(), 6, Order::Undo { of: 5 }), Swapped::InForce(6, "old".into()));
+    assert_eq!(
+        generations.order(S * 12, noon(), 6, Order::Undo { of: 5 }),
+        Swapped::InForce(6, "old".into())
+    );
     assert_eq!(generations.order(S * 12, noon(), 7, Order::Undo { of: 6 }), Swapped::Not(7, NoSwap::Nothing));
     // One that waits can be dropped, and one that is gone by its time changes nothing.
     generations.stage(make("later"));
@@ -361,7 +388,8 @@
 
 #[test]
 fn a_small_change_leaves_the_rest_and_is_checked_as_a_whole() {
-    let base = tables(&whole(r#"table "main" { prefix "112" "rescue"; prefix "+49" "north"; lines "many.txt" }"#));
+    let base =
+        tables(&whole(r#"table "main" { prefix "112" "rescue"; prefix "+49" "north"; lines "many.txt" }"#));
     let of = |name: &str| (name == "g").then(|| base.clone());
     let change = load_with(
         r#"of "g"
@@ -405,8 +433,17 @@
             let way = match rng.random_range(0..5) {
                 0 => format!("hours \"s\"; open \"{a}\"; closed \"{b}\""),
                 1 => format!("share {} \"{a}\"; share 2 \"{b}\"", rng.random_range(0..4)),
-                2 if table + 1 < tables => format!("rewrite {} \"+4{}\"; table \"t{}\"", rng.random_range(0..4), rng.random_range(0..10), table + 1),
-                3 if table + 1 < tables => format!("ported; table \"t{}\"; else \"{a}\"; late \"{}\"", table + 1, if rng.random() { "go-on" } else { "refuse" }),
+                2 if table + 1 < tables => format!(
+                    "rewrite {} \"+4{}\"; table \"t{}\"",
+                    rng.random_range(0..4),
+                    rng.random_range(0..10),
+                    table + 1
+                ),
+                3 if table + 1 < tables => format!(
+                    "ported; table \"t{}\"; else \"{a}\"; late \"{}\"",
+                    table + 1,
+                    if rng.random() { "go-on" } else { "refuse" }
+                ),
                 _ if table + 1 < tables => format!("table \"t{}\"", table + 1),
                 _ => "route \"south\"; product \"voice\"".into(),
             };
@@ -419,7 +456,9 @@
         }
         let mut there = std::collections::BTreeSet::new();
         for _ in 0..rng.random_range(0..30) {
-            let prefix: String = (0..rng.random_range(1..4)).map(|_| char::from_digit(rng.random_range(0..4), 10).unwrap()).collect();
+            let prefix: String = (0..rng.random_range(1..4))
+                .map(|_| char::from_digit(rng.random_range(0..4), 10).unwrap())
+                .collect();
             if there.insert(prefix.clone()) {
                 block.push_str(&format!("prefix \"+4{prefix}\" \"{}\"\n", pick(rng, &names)));
             }
@@ -446,7 +485,8 @@
         let (plain, tables) = (Plain(draft.clone()), Arc::new(Tables::new(draft)));
         for _ in 0..60 {
             let len = rng.random_range(1..12);
-            let mut dialled: String = (0..len).map(|_| char::from_digit(rng.random_range(0..4), 10).unwrap()).collect();
+            let mut dialled: String =
+                (0..len).map(|_| char::from_digit(rng.random_range(0..4), 10).unwrap()).collect();
             if rng.random() {
                 dialled = format!("+4{dialled}");
             }
