Edge proxy: numbers analysed before the module, tables by order, look-ups over UDP

Reason: the number that is dialled decides which trunk groups may carry a dialogue, before the module chooses among their core servers.

Change: a dial bears its number, a launch the number it came to and where that has moved; the list orders generations of tables (load, swap now or later, undo, drop) and hears what came of it. The edge proxy analyses, asks, waits as patience has it and brings the dialogue to the module under the product and trunk group found; the module knows each product once for each group, and is told when a dialogue was dialled, so that a look-up is taken from its promised time. Reading and dropping tables, and all datagrams, are on threads of their own.

--- a/benches/waiting.rs
+++ b/benches/waiting.rs
@@ -83,6 +83,7 @@
             tenant: Some(TenantId(n as usize % 2)),
             first_choice: ServerNumber(n as i64 % 8),
             width: 1.0,
+            dialled_at: now,
             cut_off: now + Duration::from_secs(150),
             again: false,
             came_back: false,
--- a/crates/cli/benches/through.rs
+++ b/crates/cli/benches/through.rs
@@ -165,6 +165,8 @@
                         product: d.product,
                         width: d.width,
                         time_left: d.time_left,
+                        number: None,
+                        routing: None,
                     };
                     hub.say(far[next], Frame::Launch(launch).into());
                 }
@@ -225,6 +227,7 @@
             came_back: false,
             sent_at: None,
             try_of: None,
+            dialled: None,
         };
         let link = self.links[self.count as usize % self.links.len()];
         self.hub.say(link, Frame::Dial(dial).into());
--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -218,6 +218,7 @@
         came_back: false,
         sent_at: None,
         try_of: None,
+        dialled: None,
     });
     let begun = Instant::now();
     stream.write_all(&bytes(dial)).unwrap();
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -195,6 +195,7 @@
             tenant: fields.get("party").map(|text| parse("party", text).map(TenantId)).transpose()?,
             first_choice: ServerNumber(fields.number("dest")? as i64),
             width: fields.get("units").map_or(Ok(1.0), |_| fields.number("units"))?,
+            dialled_at: self.now,
             cut_off: fields.time("clientDeadlineMs")?,
             again: fields.flag("againByClient")?,
             came_back: fields.flag("cameBack")?,
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -6,11 +6,15 @@
 
 use lotussaddle::brain::Brain;
 use lotussaddle::interface::*;
-use lotussaddle_trunk::{Cause, Dial, End, Entry, Frame, Hello, Message, NotTaken, Role, VERSION};
+use lotussaddle_numbers::Tables;
+use lotussaddle_trunk::{
+    Cause, Dial, End, Entry, Frame, Hello, Message, NotTaken, Role, TablesOrder, VERSION,
+};
 
 use crate::hands::{Hands, State};
 use crate::held::{At, Concluded, Counts, Dues, Held, Limits, Pending};
 use crate::links::{Far, Kind, Link};
+use crate::numbers::{Analysed, Numbers};
 use crate::{Decisions, LinkId, Note, Wires};
 
 /// How often links are looked at for silence.
@@ -27,6 +31,7 @@
     tenants: usize,
     brain: D,
     state: State,
+    numbers: Option<Box<Numbers>>,
     /// When links are looked at again, and when the list is tried again.
     sweep_at: Duration,
     list_at: Option<Duration>,
@@ -67,11 +72,22 @@
             tenants: plan.tenants.len(),
             brain: decisions(plan),
             state,
+            numbers: None,
             sweep_at: Duration::ZERO,
             list_at: Some(Duration::ZERO),
         }
     }
 
+    /// From now on numbers that are dialled are analysed.
+    pub fn analyse_by(&mut self, numbers: Numbers) {
+        self.products = numbers.products();
+        self.numbers = Some(Box::new(numbers));
+    }
+
+    pub fn numbers(&mut self) -> Option<&mut Numbers> {
+        self.numbers.as_deref_mut()
+    }
+
     pub fn counts(&self) -> &Counts {
         &self.state.counts
     }
@@ -83,7 +99,9 @@
 
     /// When `alarm` is to be called next.
     pub fn next_due(&self) -> Duration {
-        let dues = [self.state.alarm, self.state.dues.first(), self.list_at, self.state.pending.first()];
+        let numbers = self.numbers.as_ref().and_then(|numbers| numbers.next_due());
+        let dues =
+            [self.state.alarm, self.state.dues.first(), self.list_at, self.state.pending.first(), numbers];
         dues.into_iter().flatten().fold(self.sweep_at, Duration::min)
     }
 
@@ -142,6 +160,7 @@
         self.state.now = now;
         // After a stall, what timed out meanwhile has timed out, though its answer lies in the queue.
         self.time_outs(wires);
+        self.numbers_due(wires);
         let Some(known) = self.state.links.get_mut(&link) else { return };
         (known.heard, known.asked) = (now, false);
         match (&known.kind, known.greeted, message.frame) {
@@ -166,6 +185,7 @@
                 }
             }
             (Kind::List, true, Frame::List { whole, entries }) => self.listed(whole, entries, wires),
+            (Kind::List, true, Frame::Tables { serial, order }) => self.ordered(link, serial, order, wires),
             _ => self.drop_link(link, "said what is not its to say", wires),
         }
         self.settle(wires);
@@ -175,6 +195,7 @@
     pub fn alarm(&mut self, now: Duration, wires: &mut dyn Wires) {
         self.state.now = now;
         self.time_outs(wires);
+        self.numbers_due(wires);
         while let Some(unsaid) = self.state.pending.overdue(now) {
             self.state.counts.unrecorded += 1;
             self.hands(wires).say(unsaid.link, unsaid.frame);
@@ -192,6 +213,11 @@
         if self.sweep_at <= now {
             self.sweep_at = now + SWEEP;
             self.sweep(wires);
+            let gone =
+                self.numbers.as_mut().map(|numbers| numbers.generations.take_gone()).unwrap_or_default();
+            if !gone.is_empty() {
+                wires.let_go(gone);
+            }
         }
         self.settle(wires);
     }
@@ -270,7 +296,9 @@
                 && dial.tenant.is_none_or(|t| usize::from(t) < self.tenants)
                 && (dial.width > 0.0 && dial.width <= WIDEST)
                 && !dial.time_left.is_zero();
-            (!known).then_some(NotTaken::Unknown)
+            let ready =
+                dial.dialled.is_none() || self.numbers.as_ref().is_none_or(|numbers| numbers.is_ready());
+            if !known { Some(NotTaken::Unknown) } else { (!ready).then_some(NotTaken::NotReady) }
         };
         if let Some(why) = why {
             self.state.counts.declined += 1;
@@ -290,23 +318,30 @@
             product: dial.product,
             width: dial.width,
             key: dial.key.clone(),
+            number: None,
             extra: extra.into(),
         };
         self.state.held.insert(id.clone(), held);
         if let Some(known) = self.state.links.get_mut(&link) {
             known.here.insert(id.clone());
         }
+        let product =
+            self.numbers.as_ref().map_or(dial.product.into(), |n| n.module_product(dial.product, None));
         let arrival = Arrival {
             id,
-            key: dial.key,
-            product: ProductId(dial.product.into()),
+            product: ProductId(product),
             tenant: dial.tenant.map(|t| TenantId(t.into())),
             first_choice: dial.first_choice,
             width: dial.width,
+            dialled_at: now,
             cut_off: now + time_left.saturating_sub(self.state.limits.record_within),
             again: dial.again,
             came_back: dial.came_back,
+            key: dial.key.clone(),
         };
+        if self.numbers.is_some() && dial.dialled.is_some() {
+            return self.analyse(&dial, arrival, wires);
+        }
         let mut hands = Hands { state: &mut self.state, wires };
         self.brain.arrived(hands.state.now, arrival, &mut hands);
     }
@@ -324,7 +359,7 @@
         if !same {
             return Some(NotTaken::NotYours);
         }
-        if !matches!(held.at, At::Waiting | At::Out { .. }) {
+        if !matches!(held.at, At::Asking | At::Waiting | At::Out { .. }) {
             return Some(NotTaken::Concluded);
         }
         held.link = link;
@@ -353,6 +388,13 @@
                 self.hands(wires).say(link, Frame::Release { dialogue: id.clone(), launch });
             }
             At::Releasing { .. } => {}
+            At::Asking => {
+                self.state.counts.left += 1;
+                if let Some(numbers) = &mut self.numbers {
+                    numbers.forget(id);
+                }
+                self.hands(wires).conclude(id);
+            }
             At::Waiting | At::Out { .. } => {
                 self.state.counts.left += 1;
                 let mut hands = Hands { state: &mut self.state, wires };
@@ -687,7 +729,114 @@
             Some(At::Releasing { launch, link, .. }) => {
                 self.over(id, launch, server, link, LoadReport::default(), wires);
             }
-            Some(At::Waiting) | None => {}
+            Some(At::Asking | At::Waiting) | None => {}
+        }
+    }
+
+    // Numbers
+
+    /// A datagram of a look-up server.
+    pub fn replied(&mut self, now: Duration, server: usize, datagram: &[u8], wires: &mut dyn Wires) {
+        self.state.now = now;
+        if let Some(numbers) = &mut self.numbers {
+            numbers.replied(now, server, datagram, wires);
+        }
+        self.time_outs(wires);
+        self.numbers_due(wires);
+        self.settle(wires);
+    }
+
+    /// What came of `Wires::load`.
+    pub fn loaded(
+        &mut self, now: Duration, name: &str, tables: Result<Arc<Tables>, String>, wires: &mut dyn Wires,
+    ) {
+        self.state.now = now;
+        if let Some(numbers) = &mut self.numbers {
+            if let Err(why) = &tables {
+                wires.log(Note::Link, &format!("generation {name} is not taken:\n{why}"));
+            }
+            numbers.loaded(now, name, tables, wires);
+        }
+        self.numbers_due(wires);
+        self.settle(wires);
+    }
+
+    /// An order about tables came from the list.
+    fn ordered(&mut self, link: LinkId, serial: u64, order: TablesOrder, wires: &mut dyn Wires) {
+        let now = self.state.now;
+        match &mut self.numbers {
+            Some(numbers) => numbers.ordered(now, serial, order, wires),
+            None => {
+                let why = Some(Arc::from("numbers are not analysed here"));
+                self.hands(wires).say(link, Frame::Tabled { serial, in_force: 0, name: None, why });
+            }
+        }
+        self.numbers_due(wires);
+    }
+
+    fn analyse(&mut self, dial: &Dial, arrival: Arrival, wires: &mut dyn Wires) {
+        let Some(numbers) = &mut self.numbers else { return };
+        self.state.counts.analysed += 1;
+        let id = arrival.id.clone();
+        match numbers.begin(self.state.now, dial, arrival, wires) {
+            Some(found) => self.analysed(found, wires),
+            None => {
+                self.state.counts.looked_up += 1;
+                if let Some(held) = self.state.held.get_mut(&id) {
+                    held.at = At::Asking;
+                }
+            }
+        }
+    }
+
+    /// What is due of tables and look-ups, and what came of look-ups meanwhile.
+    fn numbers_due(&mut self, wires: &mut dyn Wires) {
+        let Some(numbers) = &mut self.numbers else { return };
+        let (found, unanswered) = numbers.due(self.state.now, wires);
+        let said = numbers.take_said();
+        self.state.counts.unanswered += unanswered;
+        for found in found {
+            self.analysed(found, wires);
+            self.hand_over_ends(wires);
+        }
+        let list = self.state.links.iter().find(|(_, link)| matches!(link.kind, Kind::List) && link.greeted);
+        let list = list.map(|(id, _)| *id);
+        for said in said {
+            if let Frame::Tabled { serial, in_force, name, why } = &said {
+                let (name, why) = (name.as_deref().unwrap_or("-"), why.as_deref().unwrap_or("done"));
+                wires.log(
+                    Note::Mode,
+                    &format!("tables: order {serial} on {name}: {why}; in force is swap {in_force}"),
+                );
+            }
+            if let Some(list) = list {
+                self.hands(wires).say(list, said);
+            }
+        }
+    }
+
+    fn analysed(&mut self, (mut arrival, found): Analysed, wires: &mut dyn Wires) {
+        let Some(held) = self.state.held.get_mut(&arrival.id) else { return };
+        held.at = At::Waiting;
+        match found {
+            Ok(route) => {
+                held.product = route.product;
+                held.width = route.width;
+                let routing = route.routing.map(|routing| Arc::from(routing.to_string()));
+                held.number = Some(Box::new((Arc::from(route.number.to_string()), routing)));
+                arrival.product = ProductId(route.module_product);
+                arrival.width = route.width;
+                if let Some(first) = route.first {
+                    arrival.first_choice = ServerNumber(first);
+                }
+                let mut hands = Hands { state: &mut self.state, wires };
+                self.brain.arrived(hands.state.now, arrival, &mut hands);
+            }
+            Err(_) => {
+                self.state.counts.barred += 1;
+                let mut hands = self.hands(wires);
+                hands.refuse(&arrival.id, None);
+            }
         }
     }
 
--- a/crates/edge/src/hands.rs
+++ b/crates/edge/src/hands.rs
@@ -129,6 +129,8 @@
             product: held.product,
             width: held.width,
             time_left: until.saturating_sub(now),
+            number: held.number.as_ref().map(|number| number.0.clone()),
+            routing: held.number.as_ref().and_then(|number| number.1.clone()),
         });
         if !self.wires.say(link, Message { frame, extra: held.extra.to_vec() }) {
             return false;
--- a/crates/edge/src/held.rs
+++ b/crates/edge/src/held.rs
@@ -1,6 +1,7 @@
 //! What is held of each dialogue, and the bounds of all that is held.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::sync::Arc;
 use std::time::Duration;
 
 use lotussaddle::interface::{DialledKey, DialogueId, LaunchNo, ServerId};
@@ -74,11 +75,19 @@
     pub links_closed: u64,
     /// Answers given before they were recorded, since that took too long or could not be had.
     pub unrecorded: u64,
+    /// Dialogues whose number was analysed, those that were refused by it, those that waited for a look-up, and
+    /// those that waited no longer.
+    pub analysed: u64,
+    pub barred: u64,
+    pub looked_up: u64,
+    pub unanswered: u64,
 }
 
 /// Where a dialogue is.
 #[derive(Clone, Debug, PartialEq)]
 pub enum At {
+    /// Its number is looked up; the module does not know of it yet.
+    Asking,
     Waiting,
     /// On its way to a server; none yet of its link: it waits for that to come up.
     Out {
@@ -111,6 +120,8 @@
     pub product: u16,
     pub width: f64,
     pub key: Option<DialledKey>,
+    /// The number to be dialled on, and where it has moved to.
+    pub number: Option<Box<(Arc<str>, Option<Arc<str>>)>>,
     /// Optional fields of its dial, which its launches carry on.
     pub extra: Box<[Extra]>,
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -9,12 +9,17 @@
 mod hands;
 mod held;
 mod links;
+mod numbers;
 
 pub use decisions::Decisions;
 pub use edge::Edge;
 pub use held::{Counts, Limits};
+pub use numbers::Numbers;
 
 use lotussaddle::interface::DialogueId;
+use std::sync::Arc;
+
+use lotussaddle_numbers::Tables;
 use lotussaddle_trunk::{Frame, Message};
 
 /// A link of this edge proxy, named by the shell and never named again.
@@ -45,4 +50,13 @@
     fn record(&mut self, _dialogue: &DialogueId, _answer: &Frame) -> Option<u64> {
         None
     }
+    /// Has a generation of tables read and checked; `Edge::loaded` tells what came of it. A change is read on one of
+    /// these. False: not now.
+    fn load(&mut self, _name: &str, _bases: Vec<Arc<Tables>>) -> bool {
+        false
+    }
+    /// Sends a datagram to a look-up server, by its number.
+    fn ask(&mut self, _server: usize, _datagram: &[u8]) {}
+    /// Takes generations apart that nobody needs, which may take a while: not here.
+    fn let_go(&mut self, _tables: Vec<Arc<Tables>>) {}
 }
--- a/crates/edge/tests/hard_cases.rs
+++ b/crates/edge/tests/hard_cases.rs
@@ -143,6 +143,7 @@
         came_back: false,
         sent_at: None,
         try_of: None,
+        dialled: None,
     }
 }
 
--- a/crates/judge/tests/doctored.rs
+++ b/crates/judge/tests/doctored.rs
@@ -77,6 +77,7 @@
             came_back: false,
             sent_at: None,
             try_of: None,
+            dialled: None,
         };
         with(&mut dial);
         self.passed(at, CALLER, Way::In, Frame::Dial(dial))
@@ -95,6 +96,8 @@
             product: 0,
             width: 1.0,
             time_left,
+            number: None,
+            routing: None,
         };
         self.passed(at, link, Way::Out, Frame::Launch(launch))
     }
--- a/crates/numbers/src/generations.rs
+++ b/crates/numbers/src/generations.rs
@@ -2,7 +2,7 @@
 //! were begun by them.
 
 use std::collections::{BTreeMap, VecDeque};
-use std::sync::{Arc, Weak};
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::Tables;
@@ -71,8 +71,10 @@
     /// By time, then by order.
     timed: BTreeMap<(Duration, u64), String>,
     last_order: u64,
-    alive: Vec<Weak<Tables>>,
-    /// What is let go is handed out, so that it can be taken apart elsewhere.
+    /// What has been in force and may still be held by a dialogue. Kept here too, so that it is never the last
+    /// dialogue, in the middle of its work, that takes a million prefixes apart.
+    old: Vec<Arc<Tables>>,
+    /// What is let go is handed out, to be taken apart elsewhere.
     gone: Vec<Arc<Tables>>,
 }
 
@@ -91,6 +93,23 @@
         self.staged.iter().rev().chain(forces).find(|tables| tables.name == name).cloned()
     }
 
+    /// The one that is in force when all begins, under the serial 0 that no order has.
+    pub fn begin_with(&mut self, tables: Arc<Tables>) {
+        self.old.push(tables.clone());
+        self.now = Some(Force { serial: 0, tables });
+    }
+
+    /// All that a change may be made of.
+    pub fn all(&self) -> Vec<Arc<Tables>> {
+        let forces = self.now.iter().chain(self.before.iter().rev()).map(|force| &force.tables);
+        self.staged.iter().rev().chain(forces).cloned().collect()
+    }
+
+    /// A serial that was used for something else than an order carried out here.
+    pub fn used(&mut self, serial: u64) {
+        self.last_order = self.last_order.max(serial);
+    }
+
     /// A generation that was checked whole waits to be swapped in, in the place of one of the same name.
     pub fn stage(&mut self, tables: Arc<Tables>) {
         if let Some(place) = self.staged.iter().position(|known| known.name == tables.name) {
@@ -167,7 +186,7 @@
     }
 
     fn undo(&mut self, serial: u64, of: u64) -> Result<Swapped, NoSwap> {
-        if self.serial() != of || of == 0 {
+        if self.now.is_none() || self.serial() != of {
             return Err(NoSwap::NotLast(of));
         }
         let before = self.before.back().cloned().ok_or(NoSwap::Nothing)?;
@@ -182,31 +201,35 @@
 
     /// Counts a generation among those in use, if there is room.
     fn in_place(&mut self, tables: &Arc<Tables>) -> Result<(), NoSwap> {
-        let known = |weak: &Weak<Tables>| weak.as_ptr() == Arc::as_ptr(tables);
-        if self.alive.iter().any(known) {
+        if self.old.iter().any(|old| Arc::ptr_eq(old, tables)) {
             return Ok(());
         }
         if self.alive() >= MOST_ALIVE {
             return Err(NoSwap::TooMany);
         }
-        self.alive.push(Arc::downgrade(tables));
+        self.old.push(tables.clone());
         Ok(())
     }
 
-    /// Generations that have been in force and that somebody still holds. Those held only to be undone do not count.
+    /// Generations that are in force or held by a dialogue. Those kept only to be undone do not count.
     pub fn alive(&mut self) -> usize {
-        self.alive.retain(|weak| weak.strong_count() > 0);
-        let kept = |weak: &Weak<Tables>| {
-            let held = self.before.iter().filter(|force| Arc::as_ptr(&force.tables) == weak.as_ptr()).count()
-                + self.staged.iter().filter(|tables| Arc::as_ptr(tables) == weak.as_ptr()).count()
-                + self.gone.iter().filter(|tables| Arc::as_ptr(tables) == weak.as_ptr()).count();
-            weak.strong_count() > held
-        };
-        self.alive.iter().filter(|weak| kept(weak)).count()
+        let mut alive = 0;
+        for old in std::mem::take(&mut self.old) {
+            let is = |known: &Arc<Tables>| Arc::ptr_eq(known, &old);
+            let in_force = self.in_force().is_some_and(is);
+            let kept = self.before.iter().filter(|force| is(&force.tables)).count();
+            let here =
+                usize::from(in_force) + kept + self.staged.iter().chain(&self.gone).filter(|t| is(t)).count();
+            let held = Arc::strong_count(&old) > here + 1;
+            alive += usize::from(in_force || held);
+            if here == 0 && !held { self.gone.push(old) } else { self.old.push(old) }
+        }
+        alive
     }
 
     /// What nobody here needs any more; a generation of a million prefixes is not taken apart on the decision thread.
     pub fn take_gone(&mut self) -> Vec<Arc<Tables>> {
+        self.alive();
         std::mem::take(&mut self.gone)
     }
 }
--- a/crates/portability/src/codec.rs
+++ b/crates/portability/src/codec.rs
@@ -22,6 +22,15 @@
     Not,
 }
 
+impl Moved {
+    pub fn routing(self) -> Option<Digits> {
+        match self {
+            Self::To(routing) => Some(routing),
+            Self::Not => None,
+        }
+    }
+}
+
 /// What a reply says.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Said {
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -5,11 +5,14 @@
 //! whose overflow has a stated answer (`docs/operators/edge-proxy.md`). It decides nothing by itself. Start
 //! reading at [`EdgeSheet`], then [`serve`].
 
+mod loader;
 mod logs;
+mod look_ups;
 mod records;
 mod run;
 mod sheet;
 
+pub use loader::{MAX_LINES, read_generation};
 pub use logs::{LogForm, logging};
 pub use run::{serve, serve_with};
-pub use sheet::{EdgeSheet, ProductSheet, RouteSheet, StoreSheet, TenantSheet};
+pub use sheet::{EdgeSheet, LookUpSheet, NumbersSheet, ProductSheet, RouteSheet, StoreSheet, TenantSheet};
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -1,6 +1,7 @@
 //! The decision thread.
 
 use std::io::Write;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result};
@@ -9,9 +10,12 @@
 use lotussaddle::interface::{DialogueId, RoutePlan};
 use lotussaddle_edge::{Decisions, Edge, LinkId, Note, Wires};
 use lotussaddle_links::{Bounds, Gate, Happening, Hub, Token};
+use lotussaddle_numbers::{Tables, Timestamp};
 use lotussaddle_trunk::{Frame, Message};
 
+use crate::loader::{Loader, read_generation};
 use crate::logs::{Log, LogLine};
+use crate::look_ups::LookUps;
 use crate::records::Records;
 use crate::sheet::EdgeSheet;
 
@@ -25,6 +29,8 @@
     log: Log,
     /// None: nothing is remembered, or no more.
     records: Option<Records>,
+    loader: Option<Loader>,
+    look_ups: Option<LookUps>,
 }
 
 impl Wires for Sockets {
@@ -47,6 +53,22 @@
         self.records.as_mut()?.record(dialogue, answer)
     }
 
+    fn load(&mut self, name: &str, bases: Vec<Arc<Tables>>) -> bool {
+        self.loader.as_ref().is_some_and(|loader| loader.load(name, bases))
+    }
+
+    fn ask(&mut self, server: usize, datagram: &[u8]) {
+        if let Some(look_ups) = &self.look_ups {
+            look_ups.ask(server, datagram);
+        }
+    }
+
+    fn let_go(&mut self, tables: Vec<Arc<Tables>>) {
+        if let Some(loader) = &self.loader {
+            loader.let_go(tables);
+        }
+    }
+
     fn log(&mut self, note: Note, line: &str) {
         self.log.put(LogLine::Said(note, line.into()));
     }
@@ -69,7 +91,26 @@
     let decisions = |plan| decisions(plan, seed);
     let mut edge = Edge::with(&sheet.name, &sheet.list, sheet.plan.plan(), sheet.limits.clone(), decisions);
     let log = Log::begin(sheet.name.clone()).context("no thread for the log")?;
-    let mut wires = Sockets { hub, log, records: None };
+    let mut wires = Sockets { hub, log, records: None, loader: None, look_ups: None };
+    let (mut read, mut replies) = (crossbeam_channel::never(), crossbeam_channel::never());
+    if let Some(numbers) = &sheet.numbers {
+        let chance = std::hash::BuildHasher::hash_one(&std::hash::RandomState::new(), 1);
+        let look_ups = numbers.look_ups.as_ref().map(|look_ups| (look_ups.plan.clone(), chance));
+        let mut analysis = sheet.plan.numbers(Timestamp::now(), look_ups);
+        if let Some(start) = &numbers.start {
+            let tables = read_generation(&numbers.folder, start, &sheet.plan.known(), &[]);
+            analysis.begin_with(tables.map_err(|mistakes| anyhow::anyhow!("{mistakes}"))?);
+        }
+        edge.analyse_by(analysis);
+        let (loader, done) =
+            Loader::begin(numbers.folder.clone(), sheet.plan.known()).context("no thread for tables")?;
+        (wires.loader, read) = (Some(loader), done);
+        if let Some(sheet) = &numbers.look_ups {
+            let (look_ups, heard) =
+                LookUps::open(&sheet.servers).context("cannot open a port for look-ups")?;
+            (wires.look_ups, replies) = (Some(look_ups), heard);
+        }
+    }
     let mut made = crossbeam_channel::never();
     if let Some(store) = &sheet.store {
         let (records, answered, told) = Records::open(store, sheet.limits.remember_for)?;
@@ -96,8 +137,23 @@
                 }
                 None
             }
+            recv(read) -> found => {
+                if let Ok((name, tables)) = found {
+                    edge.loaded(start.elapsed(), &name, tables, &mut wires);
+                }
+                None
+            }
+            recv(replies) -> reply => {
+                if let Ok((server, datagram)) = reply {
+                    edge.replied(start.elapsed(), server, &datagram, &mut wires);
+                }
+                None
+            }
             default(wait) => None,
         };
+        for (server, datagram) in replies.try_iter().take(ROUND) {
+            edge.replied(start.elapsed(), server, &datagram, &mut wires);
+        }
         while let Ok(record) = made.try_recv() {
             recorded(&mut edge, start.elapsed(), record, &mut wires);
         }
@@ -115,6 +171,10 @@
         }
         if now >= counts_at {
             counts_at = now + COUNTS_EVERY;
+            // The machine's clock may have been set.
+            if let Some(numbers) = edge.numbers() {
+                numbers.set_wall(now, Timestamp::now());
+            }
             wires.log.put(LogLine::Counts(Box::new(edge.counts().clone()), edge.sizes()));
         }
     }
--- a/crates/serve/src/sheet.rs
+++ b/crates/serve/src/sheet.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use lotussaddle::interface::{Product, RoutePlan, ServerNumber, Tenant};
-use lotussaddle_edge::Limits;
+use lotussaddle_edge::{Limits, Numbers};
+use lotussaddle_numbers::{Group, Known, Timestamp};
 use lotussaddle_sheet::{Block, Mistakes, Sheet, spelled};
 use lotussaddle_store::Mode;
 
@@ -25,9 +26,26 @@
     pub limits: Limits,
     /// What must outlive this process; none: nothing does.
     pub store: Option<StoreSheet>,
+    /// How dialled numbers are analysed; none: they are not.
+    pub numbers: Option<NumbersSheet>,
     pub plan: RouteSheet,
 }
 
+#[derive(Clone, Debug, PartialEq)]
+pub struct NumbersSheet {
+    /// Where generations are: NAME.kdl each.
+    pub folder: PathBuf,
+    /// The one in force at the start; none: none is until one is ordered.
+    pub start: Option<String>,
+    pub look_ups: Option<LookUpSheet>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct LookUpSheet {
+    pub servers: Vec<SocketAddr>,
+    pub plan: lotussaddle_portability::Plan,
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub struct StoreSheet {
     pub folder: PathBuf,
@@ -41,6 +59,8 @@
     pub proxies: u32,
     pub products: Vec<ProductSheet>,
     pub tenants: Vec<TenantSheet>,
+    /// Trunk groups, which number analysis chooses among.
+    pub groups: Vec<Group>,
     pub over_quota_share: f64,
     pub tick: Duration,
     pub release: Duration,
@@ -108,6 +128,7 @@
                 };
                 StoreSheet { folder: block.text("folder", None).into(), mode }
             });
+            let numbers = root.maybe("numbers").map(|node| NumbersSheet::read(&node.block()));
             let seed = root.maybe("seed").and_then(|node| node.whole(0, 0..=u64::MAX));
             let plan = root.need("plan").map(|node| RouteSheet::read(&node.block()));
             Self {
@@ -117,6 +138,7 @@
                 seed,
                 limits,
                 store,
+                numbers,
                 plan: plan.unwrap_or_else(RouteSheet::empty),
             }
         };
@@ -153,11 +175,99 @@
             let (folder, within) = (store.folder.display().to_string(), spelled(l.record_within));
             let _ = writeln!(out, "store {{ folder {folder:?}; mode {mode:?}; within {within:?}; }}");
         }
+        if let Some(numbers) = &self.numbers {
+            out.push_str(&numbers.kdl());
+        }
         let _ = write!(out, "plan {{\n{}}}\n", self.plan.kdl("  "));
         out
     }
 }
 
+impl NumbersSheet {
+    fn read(block: &Block) -> Self {
+        Self {
+            folder: block.text("folder", None).into(),
+            start: block.maybe("start").and_then(|node| node.text(0)),
+            look_ups: block.maybe("look-up").map(|node| LookUpSheet::read(&node.block())),
+        }
+    }
+
+    fn kdl(&self) -> String {
+        let mut out = format!("numbers {{\n  folder {:?}\n", self.folder.display().to_string());
+        if let Some(start) = &self.start {
+            let _ = writeln!(out, "  start {start:?}");
+        }
+        if let Some(look_ups) = &self.look_ups {
+            let p = &look_ups.plan;
+            let servers: Vec<String> = look_ups.servers.iter().map(|s| format!("\"{s}\"")).collect();
+            let _ = writeln!(
+                out,
+                "  look-up {{\n    servers {}\n    suffix {:?}\n    wait {:?}\n    tries {}\n    out {} {}\n    queue {}\n    \
+                 remembered {}\n    shortest {:?}\n    longest {:?}\n    stale {:?}\n  }}",
+                servers.join(" "),
+                p.suffix,
+                spelled(p.first_wait),
+                p.tries,
+                p.first_out,
+                p.most_out,
+                p.queue,
+                p.remembered,
+                spelled(p.shortest),
+                spelled(p.longest),
+                spelled(p.stale),
+            );
+        }
+        out + "}\n"
+    }
+}
+
+impl LookUpSheet {
+    fn read(block: &Block) -> Self {
+        let usual = lotussaddle_portability::Plan::default();
+        let servers = block.need("servers").map(|node| {
+            let servers = (0..node.arguments()).filter_map(|n| {
+                let text = node.text(n)?;
+                let address = text.parse::<SocketAddr>().ok().filter(|address| address.ip().is_loopback());
+                if address.is_none() {
+                    node.wrong(format!("servers wants loopback addresses with ports, not {text}"));
+                }
+                address
+            });
+            servers.collect::<Vec<_>>()
+        });
+        let servers = servers.unwrap_or_default();
+        if servers.is_empty() || servers.len() > 16 {
+            block.wrong("look-up wants 1 to 16 servers");
+        }
+        let (first_out, most_out) = block.maybe("out").map_or((usual.first_out, usual.most_out), |node| {
+            let first = node.whole(0, 1..=16_384).unwrap_or(1) as usize;
+            let most = node.whole(1, 1..=16_384).unwrap_or(1) as usize;
+            if first > most {
+                node.wrong("out: the first is above the second");
+            }
+            (first, most)
+        });
+        let plan = lotussaddle_portability::Plan {
+            suffix: block.text("suffix", Some(&usual.suffix)),
+            servers: servers.len(),
+            first_wait: block.time("wait", MS..=S * 10, Some(usual.first_wait)),
+            tries: block.whole("tries", 1..=10, Some(usual.tries.into())) as u32,
+            first_out,
+            most_out,
+            queue: block.whole("queue", 0..=1_000_000, Some(usual.queue as u64)) as usize,
+            remembered: block.whole("remembered", 0..=10_000_000, Some(usual.remembered as u64)) as usize,
+            shortest: block.time("shortest", Duration::ZERO..=HOUR, Some(usual.shortest)),
+            longest: block.time("longest", S..=HOUR * 168, Some(usual.longest)),
+            stale: block.time("stale", Duration::ZERO..=HOUR * 168, Some(usual.stale)),
+            ..usual
+        };
+        if plan.shortest > plan.longest {
+            block.wrong("shortest is above longest");
+        }
+        Self { servers, plan }
+    }
+}
+
 fn limits(block: &Block) -> Limits {
     let usual = Limits::default();
     let count = |name, most, usual: usize| block.whole(name, 1..=most, Some(usual as u64)) as usize;
@@ -185,6 +295,7 @@
             proxies: 1,
             products: Vec::new(),
             tenants: Vec::new(),
+            groups: Vec::new(),
             over_quota_share: 0.0,
             tick: MS,
             release: Duration::ZERO,
@@ -230,12 +341,27 @@
         if products.len() > 1000 {
             block.wrong("over 1000 products");
         }
+        let mut groups: Vec<Group> = Vec::new();
+        for node in block.many("group") {
+            let name = node.text(0).unwrap_or_default();
+            if groups.iter().any(|known| known.name == name) {
+                node.wrong(format!("group {name} stands here a second time"));
+            }
+            let cores = node.block().need("cores").map(|node| {
+                (0..node.arguments()).filter_map(|n| node.whole(n, 0..=1_000_000)).map(|n| n as i64).collect()
+            });
+            groups.push(Group { name, cores: cores.unwrap_or_default() });
+        }
+        if products.len() * (groups.len() + 1) > 10_000 {
+            block.wrong("over 10000 pairs of product and group");
+        }
         let tenants = block.many("tenant").into_iter().map(|node| TenantSheet {
             name: node.text(0).unwrap_or_default(),
             quota: node.block().real("quota", 1e-6..=1e9, None),
         });
         Self {
             tenants: tenants.collect(),
+            groups,
             products,
             proxies: block.whole("proxies", 1..=100_000, None) as u32,
             over_quota_share: block.real("over-quota-share", 0.0..=1.0, Some(0.2)),
@@ -283,17 +409,49 @@
         for tenant in &self.tenants {
             lines.push(format!("tenant {:?} {{ quota {:?}; }}", tenant.name, tenant.quota));
         }
+        for group in &self.groups {
+            let cores: Vec<String> = group.cores.iter().map(i64::to_string).collect();
+            lines.push(format!("group {:?} {{ cores {}; }}", group.name, cores.join(" ")));
+        }
         lines.iter().map(|line| format!("{indent}{line}\n")).collect()
     }
 
+    /// What tables of numbers may name.
+    pub fn known(&self) -> Known {
+        Known {
+            groups: self.groups.clone(),
+            products: self.products.iter().map(|product| product.name.clone()).collect(),
+            tenants: self.tenants.iter().map(|tenant| tenant.name.clone()).collect(),
+        }
+    }
+
+    /// Numbers are analysed by these promised times and groups.
+    pub fn numbers(
+        &self, wall: Timestamp, look_ups: Option<(lotussaddle_portability::Plan, u64)>,
+    ) -> Numbers {
+        let promised = self.products.iter().map(|product| product.promised).collect();
+        Numbers::new(promised, self.groups.len(), wall, look_ups)
+    }
+
+    /// The module knows each product once without a trunk group, and once for each of them
+    /// (`Numbers::module_product`): what can take a dialogue is the core servers of both.
     pub fn plan(&self) -> RoutePlan {
-        let products = self.products.iter().map(|p| Product {
-            promised: p.promised,
-            lasts: p.lasts,
-            patience: p.cut_off,
-            gain: p.gain,
-            late_share: p.late_share,
-            servers: p.cores.as_ref().map(|cores| cores.iter().copied().map(ServerNumber).collect()),
+        let products = self.products.iter().flat_map(|p| {
+            let all = p.cores.clone();
+            let of_group = |group: &Group| match &p.cores {
+                None => group.cores.clone(),
+                Some(cores) => group.cores.iter().copied().filter(|core| cores.contains(core)).collect(),
+            };
+            let servers = std::iter::once(all).chain(self.groups.iter().map(of_group).map(Some));
+            let servers: Vec<_> = servers.collect();
+            servers.into_iter().map(|servers| Product {
+                promised: p.promised,
+                lasts: p.lasts,
+                patience: p.cut_off,
+                gain: p.gain,
+                late_share: p.late_share,
+                servers: servers.map(|cores| cores.into_iter().map(ServerNumber).collect()),
+            })
         });
         RoutePlan {
             proxies: self.proxies,
--- a/crates/standin/src/crowd.rs
+++ b/crates/standin/src/crowd.rs
@@ -428,5 +428,6 @@
         came_back: caller.came_back,
         sent_at: Some(now),
         try_of: again.then(|| caller.first.clone()),
+        dialled: caller.dialled.clone(),
     })
 }
--- a/crates/trunk/src/codec.rs
+++ b/crates/trunk/src/codec.rs
@@ -65,6 +65,8 @@
 const ENDED: u8 = 38;
 const REPORT: u8 = 39;
 const LIST: u8 = 48;
+const TABLES: u8 = 49;
+const TABLED: u8 = 50;
 
 fn kind_name(kind: u8) -> Option<&'static str> {
     Some(match kind {
@@ -88,6 +90,8 @@
         ENDED => "ended",
         REPORT => "report",
         LIST => "list",
+        TABLES => "tables",
+        TABLED => "tabled",
         _ => return None,
     })
 }
@@ -114,6 +118,10 @@
 const ADDRESS: u8 = 19;
 const LIFE: u8 = 20;
 const SENT_AT: u8 = 21;
+const SERIAL: u8 = 22;
+const OF: u8 = 23;
+const CALLED: u8 = 24;
+const ROUTING: u8 = 25;
 
 struct Writer<'a>(&'a mut Vec<u8>);
 
@@ -230,6 +238,9 @@
             if let Some(sent_at) = dial.sent_at {
                 to.time(SENT_AT, sent_at);
             }
+            if let Some(dialled) = &dial.dialled {
+                to.text(CALLED, dialled);
+            }
             to.whole(NUMBER, dial.first_choice.0 as u64).real(WIDTH, dial.width).time(TIME, dial.time_left);
             to.whole(FLAGS, u64::from(dial.again) | u64::from(dial.came_back) << 1);
             DIAL
@@ -266,6 +277,12 @@
             if let Some(key) = &launch.key {
                 to.text(KEY, &key.0);
             }
+            if let Some(number) = &launch.number {
+                to.text(CALLED, number);
+            }
+            if let Some(routing) = &launch.routing {
+                to.text(ROUTING, routing);
+            }
             to.real(WIDTH, launch.width).time(TIME, launch.time_left);
             LAUNCH
         }
@@ -309,6 +326,26 @@
             }
             LIST
         }
+        Frame::Tables { serial, order } => {
+            to.whole(SERIAL, *serial);
+            match order {
+                TablesOrder::Load { name } => to.whole(WHY, 0).text(NAME, name),
+                TablesOrder::Swap { name, after } => to.whole(WHY, 1).text(NAME, name).time(TIME, *after),
+                TablesOrder::Undo { of } => to.whole(WHY, 2).whole(OF, *of),
+                TablesOrder::Drop { of } => to.whole(WHY, 3).whole(OF, *of),
+            };
+            TABLES
+        }
+        Frame::Tabled { serial, in_force, name, why } => {
+            to.whole(SERIAL, *serial).whole(OF, *in_force);
+            if let Some(name) = name {
+                to.text(NAME, name);
+            }
+            if let Some(why) = why {
+                to.text(CALLED, why);
+            }
+            TABLED
+        }
     }
 }
 
@@ -445,7 +482,8 @@
 }
 
 const ROLES: &[Role] = &[Role::Caller, Role::Edge, Role::Core, Role::List];
-const NOT_TAKEN: &[NotTaken] = &[NotTaken::Full, NotTaken::Concluded, NotTaken::NotYours, NotTaken::Unknown];
+const NOT_TAKEN: &[NotTaken] =
+    &[NotTaken::Full, NotTaken::Concluded, NotTaken::NotYours, NotTaken::Unknown, NotTaken::NotReady];
 const CAUSES: &[Cause] = &[Cause::Processor, Cause::Lines, Cause::NumberBusy, Cause::Fault];
 const ENDS: &[End] = &[End::Released, End::Cut];
 const LISTED: &[Listed] = &[Listed::Active, Listed::Leaving, Listed::Gone];
@@ -493,6 +531,7 @@
                 came_back: flags & 2 != 0,
                 sent_at: f.maybe(SENT_AT, time)?,
                 try_of: f.maybe(TRY_OF, text)?.map(DialogueId),
+                dialled: f.maybe(CALLED, text)?,
             })
         }
         HANG_UP => Frame::HangUp { dialogue: f.dialogue()? },
@@ -508,6 +547,8 @@
             product: f.need(PRODUCT, small)?,
             width: f.need(WIDTH, real)?,
             time_left: f.need(TIME, time)?,
+            number: f.maybe(CALLED, text)?,
+            routing: f.maybe(ROUTING, text)?,
         }),
         CANCEL => Frame::Cancel { dialogue: f.dialogue()?, launch: f.launch()? },
         RELEASE => Frame::Release { dialogue: f.dialogue()?, launch: f.launch()? },
@@ -534,6 +575,23 @@
             }
             Frame::List { whole, entries }
         }
+        TABLES => {
+            let serial = f.need(SERIAL, whole)?;
+            let order = match f.need(WHY, whole)? {
+                0 => TablesOrder::Load { name: f.need(NAME, text)? },
+                1 => TablesOrder::Swap { name: f.need(NAME, text)?, after: f.need(TIME, time)? },
+                2 => TablesOrder::Undo { of: f.need(OF, whole)? },
+                3 => TablesOrder::Drop { of: f.need(OF, whole)? },
+                _ => return Err(f.wrong(WHY, "is not known")),
+            };
+            Frame::Tables { serial, order }
+        }
+        TABLED => Frame::Tabled {
+            serial: f.need(SERIAL, whole)?,
+            in_force: f.need(OF, whole)?,
+            name: f.maybe(NAME, text)?,
+            why: f.maybe(CALLED, text)?,
+        },
         other => return Err(TrunkError::Kind(other)),
     };
     Ok(Message { frame, extra: f.rest()? })
--- a/crates/trunk/src/frame.rs
+++ b/crates/trunk/src/frame.rs
@@ -50,6 +50,8 @@
     NotYours,
     /// A product, tenant, width or time that the edge proxy does not know.
     Unknown,
+    /// Its number cannot be analysed yet: no tables are in force.
+    NotReady,
 }
 
 /// How a core server turned a launch back.
@@ -194,6 +196,40 @@
         whole: bool,
         entries: Vec<Entry>,
     },
+    /// An order about the tables by which numbers are analysed. Serials go up; one is never used twice.
+    Tables {
+        serial: u64,
+        order: TablesOrder,
+    },
+
+    // Edge proxy to pool list
+    /// What came of an order; `in_force` is the serial of the swap that is in force.
+    Tabled {
+        serial: u64,
+        in_force: u64,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        name: Option<Arc<str>>,
+        /// Why it was not carried out.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        why: Option<Arc<str>>,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TablesOrder {
+    /// Read and check a generation, and keep it ready.
+    Load { name: Arc<str> },
+    /// It is in force after this time.
+    Swap {
+        name: Arc<str>,
+        #[serde(with = "texts::micros")]
+        after: Duration,
+    },
+    /// What was in force before that swap is in force again, if that swap is the last one.
+    Undo { of: u64 },
+    /// A swap that waits for its time is dropped.
+    Drop { of: u64 },
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -241,6 +277,20 @@
     /// The dialogue that was its first try.
     #[serde(default, skip_serializing_if = "Option::is_none", with = "texts::maybe_dialogue")]
     pub try_of: Option<DialogueId>,
+    /// As it was dialled. Where it is there, the number decides what can take the dialogue.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub dialled: Option<Arc<str>>,
+}
+
+impl Dial {
+    /// Shares between trunk groups go by it: the same for all tries of a caller.
+    pub fn lot(&self) -> u64 {
+        let own = self.try_of.as_ref().unwrap_or(&self.dialogue);
+        let text = self.key.as_ref().map_or(&own.0, |key| &key.0);
+        // FNV-1a: whoever judges must come to the same.
+        text.bytes()
+            .fold(0xcbf2_9ce4_8422_2325, |lot, byte| (lot ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3))
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -256,6 +306,12 @@
     /// Until the edge proxy takes it as timed out.
     #[serde(with = "texts::micros")]
     pub time_left: Duration,
+    /// The number that analysis came to ...
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub number: Option<Arc<str>>,
+    /// ... and where it has moved to.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub routing: Option<Arc<str>>,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -315,6 +371,7 @@
             | BrokenOff { dialogue, .. }
             | Ended { dialogue, .. } => Some(dialogue),
             Hello(_) | Ping { .. } | Pong { .. } | Bye { .. } | Report { .. } | List { .. } => None,
+            Tables { .. } | Tabled { .. } => None,
         }
     }
 }
--- a/crates/trunk/tests/frames.rs
+++ b/crates/trunk/tests/frames.rs
@@ -57,8 +57,9 @@
 fn dial() -> impl Strategy<Value = Frame> {
     let who = (dialogue(), proptest::option::of(text()), any::<u16>(), proptest::option::of(any::<u16>()));
     let what = (any::<i64>(), 0.0..1e6, micros(), any::<bool>(), any::<bool>());
-    let more = (proptest::option::of(micros()), proptest::option::of(dialogue()));
-    (who, what, more).prop_map(|((dialogue, key, product, tenant), what, (sent_at, try_of))| {
+    let more =
+        (proptest::option::of(micros()), proptest::option::of(dialogue()), proptest::option::of(text()));
+    (who, what, more).prop_map(|((dialogue, key, product, tenant), what, (sent_at, try_of, dialled))| {
         let (first_choice, width, time_left, again, came_back) = what;
         Frame::Dial(Dial {
             dialogue,
@@ -72,10 +73,20 @@
             came_back,
             sent_at,
             try_of,
+            dialled,
         })
     })
 }
 
+fn tables_order() -> impl Strategy<Value = TablesOrder> {
+    prop_oneof![
+        text().prop_map(|name| TablesOrder::Load { name }),
+        (text(), micros()).prop_map(|(name, after)| TablesOrder::Swap { name, after }),
+        any::<u64>().prop_map(|of| TablesOrder::Undo { of }),
+        any::<u64>().prop_map(|of| TablesOrder::Drop { of }),
+    ]
+}
+
 fn frame() -> impl Strategy<Value = Frame> {
     let roles = prop_oneof![Just(Role::Caller), Just(Role::Edge), Just(Role::Core), Just(Role::List)];
     let causes =
@@ -84,7 +95,8 @@
         Just(NotTaken::Full),
         Just(NotTaken::Concluded),
         Just(NotTaken::NotYours),
-        Just(NotTaken::Unknown)
+        Just(NotTaken::Unknown),
+        Just(NotTaken::NotReady)
     ];
     let of_launch = || (dialogue(), launch_no(), report());
     prop_oneof![
@@ -101,12 +113,17 @@
         dialogue().prop_map(|dialogue| Frame::Failed { dialogue }),
         (dialogue(), whys).prop_map(|(dialogue, why)| Frame::Declined { dialogue, why }),
         (dialogue(), end()).prop_map(|(dialogue, end)| Frame::Over { dialogue, end }),
-        (dialogue(), launch_no(), proptest::option::of(text()), any::<u16>(), 0.0..1e6, micros()).prop_map(
-            |(dialogue, launch, key, product, width, time_left)| {
+        (
+            (dialogue(), launch_no(), proptest::option::of(text()), any::<u16>(), 0.0..1e6, micros()),
+            (proptest::option::of(text()), proptest::option::of(text()))
+        )
+            .prop_map(|((dialogue, launch, key, product, width, time_left), (number, routing))| {
                 let key = key.map(DialledKey);
-                Frame::Launch(Launch { dialogue, launch, key, product, width, time_left })
-            }
-        ),
+                Frame::Launch(Launch { dialogue, launch, key, product, width, time_left, number, routing })
+            }),
+        (any::<u64>(), tables_order()).prop_map(|(serial, order)| Frame::Tables { serial, order }),
+        (any::<u64>(), any::<u64>(), proptest::option::of(text()), proptest::option::of(text()))
+            .prop_map(|(serial, in_force, name, why)| Frame::Tabled { serial, in_force, name, why }),
         (dialogue(), launch_no()).prop_map(|(dialogue, launch)| Frame::Cancel { dialogue, launch }),
         (dialogue(), launch_no()).prop_map(|(dialogue, launch)| Frame::Release { dialogue, launch }),
         of_launch().prop_map(|(dialogue, launch, report)| Frame::Stood { dialogue, launch, report }),
@@ -225,6 +242,8 @@
         product: 1,
         width: 1.0,
         time_left: Duration::from_millis(5),
+        number: None,
+        routing: None,
     });
     let whole = bytes(&launch.into());
     for cut in 5..whole.len() {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -287,7 +287,7 @@
         let may_be_again = arrival.again || !self.figures.marks_again;
         let before = arrival.key.as_ref().filter(|_| may_be_again).and_then(|key| self.forget_caller(key));
         let product = &self.figures.products[arrival.product.0];
-        let first_dialled = before.map_or(now, |(first, _)| first);
+        let first_dialled = before.map_or(arrival.dialled_at, |(first, _)| first);
         let unknown = arrival.again && !arrival.came_back && before.is_none();
         let late = unknown || now >= first_dialled + product.promised;
         let gain = product.gain * part * if late { product.late_share } else { 1.0 };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -90,6 +90,8 @@
     pub first_choice: ServerNumber,
     /// How many lines it takes.
     pub width: f64,
+    /// When it was dialled: now, or before, where something had to be looked up first.
+    pub dialled_at: Duration,
     /// When the caller gives up this try.
     pub cut_off: Duration,
     /// The caller marks that it has dialled before.
--- a/tests/both_forms.rs
+++ b/tests/both_forms.rs
@@ -223,6 +223,7 @@
             tenant,
             first_choice: ServerNumber(first_choice),
             width,
+            dialled_at: now,
             cut_off: now + left,
             again,
             came_back,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -162,6 +162,7 @@
             tenant: None,
             first_choice: ServerNumber(choice),
             width: 1.0,
+            dialled_at: ms(self.trace.now),
             cut_off: ms(self.trace.now + 3000),
             again,
             came_back: false,
@@ -370,15 +371,19 @@
 fn beyond_its_quota_a_tenant_comes_last() {
     let mut night = night("a");
     for n in 0..60 {
-        let arrival =
-            Arrival { tenant: Some(TenantId(1)), ..night.arrival(&format!("o{n:02}"), 0, 0, false) };
+        let arrival = Arrival {
+            tenant: Some(TenantId(1)),
+            dialled_at: ms(n),
+            ..night.arrival(&format!("o{n:02}"), 0, 0, false)
+        };
         night.brain.arrived(ms(n), arrival, &mut night.trace);
         night.at(n).stands(&format!("o{n:02}"), "a");
     }
     night.told();
     night.at(100).dial("d1", 0).dial("d2", 0).dial("d3", 0);
     for (name, tenant) in [("t0", 0), ("t1", 1), ("t2", 1), ("t3", 1), ("t4", 0)] {
-        let arrival = Arrival { tenant: Some(TenantId(tenant)), ..night.arrival(name, 0, 0, false) };
+        let tenant = Some(TenantId(tenant));
+        let arrival = Arrival { tenant, dialled_at: ms(110), ..night.arrival(name, 0, 0, false) };
         night.at(110);
         night.brain.arrived(ms(110), arrival, &mut night.trace);
     }
