--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -77,6 +77,7 @@
     Core,
     List,
     Callers,
+    LookUps,
 }
 
 /// A rule was broken, or a check failed; what is to be said is said.
@@ -134,6 +135,7 @@
         What::Standin { which, sheet } => match which {
             Which::Core => lotussaddle_standin::shell::core(&sheet),
             Which::List => lotussaddle_standin::shell::list(&sheet),
+            Which::LookUps => lotussaddle_standin::shell::look_ups(&sheet),
             Which::Callers => lotussaddle_standin::shell::callers(&sheet),
         },
         What::Store { what, folder } => stores::run(what, &folder),
--- a/crates/day/src/days.rs
+++ b/crates/day/src/days.rs
@@ -5,10 +5,11 @@
 use crate::plan::Day;
 
 /// Names and sheets.
-pub const DAYS: [(&str, &str); 4] = [
+pub const DAYS: [(&str, &str); 5] = [
     ("quiet", include_str!("../days/quiet.kdl")),
     ("sale-week", include_str!("../days/sale-week.kdl")),
     ("rolling", include_str!("../days/rolling.kdl")),
+    ("new-year", include_str!("../days/new-year.kdl")),
     ("cut-off-region", include_str!("../days/cut-off-region.kdl")),
 ];
 
--- a/crates/day/src/from_bench.rs
+++ b/crates/day/src/from_bench.rs
@@ -201,6 +201,7 @@
         drawn.tenants.iter().map(|t| TenantSheet { name: t.name.clone(), quota: t.quota * planned });
     let longest_return = if drawn.allow.retry_after { drawn.clients.max_retry_after } else { 0.0 };
     let plan = RouteSheet {
+        groups: Vec::new(),
         proxies: edges as u32,
         products,
         tenants: tenants.collect(),
@@ -229,6 +230,7 @@
         }
     }
     let day = Day {
+        numbers: None,
         name: format!("{} {}", drawn.site, drawn.kind).trim().into(),
         lasts: micros(drawn.length, "length")?,
         seed: 1,
--- a/crates/day/src/live.rs
+++ b/crates/day/src/live.rs
@@ -1,21 +1,24 @@
 //! Plays a day over sockets: edge proxies are processes of their own, all their links run through this process,
 //! and its one clock records every frame at their end.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::fs::File;
 use std::io::{BufRead, BufReader, BufWriter, Write};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result, bail};
-use crossbeam_channel::{Receiver, Sender, unbounded};
+use crossbeam_channel::{Receiver, Sender, bounded, select, unbounded};
 use lotussaddle_edge::Limits;
 use lotussaddle_judge::{Judge, Verdict, write_line};
 use lotussaddle_links::{Bounds, Gate, Happening, Hub, Token};
-use lotussaddle_serve::{EdgeSheet, StoreSheet};
+use lotussaddle_numbers::Timestamp;
+use lotussaddle_serve::{EdgeSheet, LookUpSheet, NumbersSheet, StoreSheet};
 use lotussaddle_store::Mode;
 use lotussaddle_trunk::Message;
 use rustix::process::{Pid, Signal, kill_process};
@@ -57,6 +60,16 @@
     begun: HashMap<Token, usize>,
     refused: Vec<usize>,
     trouble: Option<anyhow::Error>,
+    /// Look-up servers: a socket for each at each edge proxy, and who asked there last.
+    look_ups: BTreeMap<(usize, usize), LookUp>,
+    asked: Sender<(usize, usize, SocketAddr, Vec<u8>)>,
+    over: Arc<AtomicBool>,
+}
+
+struct LookUp {
+    socket: UdpSocket,
+    address: SocketAddr,
+    asker: Option<SocketAddr>,
 }
 
 impl Site {
@@ -71,6 +84,16 @@
                 folder: self.folder.join(format!("edge-{edge}.store")),
                 mode: Mode::Written,
             }),
+            numbers: self.day.numbers.as_ref().map(|numbers| NumbersSheet {
+                folder: self.folder.join("tables"),
+                start: numbers.generations.first().map(|(name, _)| name.clone()),
+                look_ups: Some(LookUpSheet {
+                    servers: (0..numbers.servers)
+                        .map(|server| self.look_ups[&(edge, server)].address)
+                        .collect(),
+                    plan: numbers.client.clone(),
+                }),
+            }),
             plan: self.day.plan.clone(),
         }
     }
@@ -104,6 +127,34 @@
         Ok(())
     }
 
+    /// Writes the generations, and opens a socket for each look-up server at each edge proxy.
+    fn begin_numbers(&mut self) -> Result<()> {
+        let Some(numbers) = self.day.numbers.clone() else { return Ok(()) };
+        let folder = self.folder.join("tables");
+        std::fs::create_dir_all(&folder).with_context(|| format!("cannot make {}", folder.display()))?;
+        for (name, text) in &numbers.generations {
+            std::fs::write(folder.join(format!("{name}.kdl")), text)?;
+        }
+        for edge in 0..self.day.edges {
+            for server in 0..numbers.servers {
+                let socket = UdpSocket::bind("127.0.0.1:0").context("no port for a look-up server")?;
+                socket.set_read_timeout(Some(Duration::from_millis(100)))?;
+                let (address, reader) = (socket.local_addr()?, socket.try_clone()?);
+                let (asked, over) = (self.asked.clone(), self.over.clone());
+                thread::Builder::new().name("look-up".into()).stack_size(64 * 1024).spawn(move || {
+                    let mut buffer = [0; 1024];
+                    while !over.load(Ordering::Relaxed) {
+                        if let Ok((length, from)) = reader.recv_from(&mut buffer) {
+                            let _ = asked.try_send((edge, server, from, buffer[..length].to_vec()));
+                        }
+                    }
+                })?;
+                self.look_ups.insert((edge, server), LookUp { socket, address, asker: None });
+            }
+        }
+        Ok(())
+    }
+
     fn signal(&self, edge: usize, signal: Signal) {
         if let Some(pid) = self.seats[edge].as_ref().and_then(|child| Pid::from_raw(child.id() as i32)) {
             let _ = kill_process(pid, signal);
@@ -164,6 +215,12 @@
         true
     }
 
+    fn reply(&mut self, edge: usize, server: usize, datagram: Vec<u8>) {
+        if let Some(LookUp { socket, asker: Some(asker), .. }) = self.look_ups.get(&(edge, server)) {
+            let _ = socket.send_to(&datagram, asker);
+        }
+    }
+
     fn kill(&mut self, edge: usize) {
         self.addresses[edge] = None;
         if let Some(mut child) = self.seats[edge].take() {
@@ -185,6 +242,7 @@
 
 impl Drop for Site {
     fn drop(&mut self) {
+        self.over.store(true, Ordering::Relaxed);
         for edge in 0..self.seats.len() {
             self.kill(edge);
         }
@@ -198,6 +256,7 @@
     let list =
         Gate::open(&hub, 0, SocketAddr::from(([127, 0, 0, 1], 0))).context("cannot listen for the list")?;
     let (told, addresses) = unbounded();
+    let (asked, questions) = bounded(65_536);
     let mut site = Site {
         hub,
         gates: vec![list],
@@ -212,13 +271,21 @@
         begun: HashMap::new(),
         refused: Vec::new(),
         trouble: None,
+        look_ups: BTreeMap::new(),
+        asked,
+        over: Arc::default(),
     };
+    site.begin_numbers()?;
     let mut world = World::new(day.clone(), &mut site);
     for edge in 0..day.edges {
         site.spawn(edge)?;
     }
     let mut brief = day.brief(ANSWER_GRACE, SLACK);
-    let lines = run(day, &mut world, &mut site, &happenings, &addresses)?;
+    if let Some(numbers) = &mut brief.numbers {
+        // Edge proxies go by the machine's clock.
+        numbers.wall = Timestamp::now().to_string();
+    }
+    let lines = run(day, &mut world, &mut site, &happenings, &addresses, &questions)?;
     brief.capacities = world.capacities();
 
     let record = folder.join("record.jsonl");
@@ -239,6 +306,7 @@
 fn run(
     day: &Day, world: &mut World, site: &mut Site, happenings: &Receiver<Happening>,
     addresses: &Receiver<(usize, u64, SocketAddr)>,
+    questions: &Receiver<(usize, usize, SocketAddr, Vec<u8>)>,
 ) -> Result<Vec<lotussaddle_judge::Line>> {
     let start = Instant::now();
     let mut lines = Vec::new();
@@ -269,7 +337,17 @@
             }
         }
         let wait = world.next_due().saturating_sub(now).min(Duration::from_millis(20));
-        let mut next = happenings.recv_timeout(wait).ok();
+        let mut next = select! {
+            recv(happenings) -> happening => happening.ok(),
+            recv(questions) -> question => {
+                question.into_iter().for_each(|question| ask(world, site, start.elapsed(), question));
+                None
+            }
+            default(wait) => None,
+        };
+        for question in questions.try_iter().take(ROUND) {
+            ask(world, site, start.elapsed(), question);
+        }
         for _ in 0..ROUND {
             let Some(happening) = next else { break };
             take(world, site, start.elapsed(), happening);
@@ -287,6 +365,14 @@
     Ok(lines)
 }
 
+fn ask(world: &mut World, site: &mut Site, now: Duration, question: (usize, usize, SocketAddr, Vec<u8>)) {
+    let (edge, server, from, datagram) = question;
+    if let Some(look_up) = site.look_ups.get_mut(&(edge, server)) {
+        look_up.asker = Some(from);
+    }
+    world.asked(now, edge, server, &datagram);
+}
+
 fn take(world: &mut World, site: &mut Site, now: Duration, happening: Happening) {
     match happening {
         Happening::Came(token, gate, opened) => {
--- a/crates/day/src/plan.rs
+++ b/crates/day/src/plan.rs
@@ -2,14 +2,16 @@
 
 use std::fmt::Write;
 use std::path::Path;
+use std::sync::Arc;
 use std::time::Duration;
 
-use lotussaddle_judge::{Brief, ColdRule, ProductBrief, TenantBrief};
+use lotussaddle_judge::{Brief, ColdRule, NumbersBrief, ProductBrief, TenantBrief};
+use lotussaddle_numbers::{Loaded, Tables, Timestamp, no_lines};
 use lotussaddle_serve::RouteSheet;
 use lotussaddle_sheet::{Block, Mistakes, Sheet, spelled};
-use lotussaddle_standin::{CallerProduct, CoreFigures, CrowdFigures, CrowdTenant, Reports};
+use lotussaddle_standin::{CallerProduct, CoreFigures, CrowdFigures, CrowdTenant, EnumFigures, Reports};
 
-use crate::trouble::Trouble;
+use crate::trouble::{Kind, Trouble};
 
 const MS: Duration = Duration::from_millis(1);
 const S: Duration = Duration::from_secs(1);
@@ -30,9 +32,24 @@
     pub list_late: Duration,
     pub callers: CallersPlan,
     pub net: NetPlan,
+    /// What is dialled and how it is analysed; none: dials bear no number.
+    pub numbers: Option<NumbersPlan>,
     pub troubles: Vec<Trouble>,
 }
 
+#[derive(Clone, Debug, PartialEq)]
+pub struct NumbersPlan {
+    /// The time of day at the day's start.
+    pub wall: Timestamp,
+    /// Names and sheets; the first one is in force at the start.
+    pub generations: Vec<(String, String)>,
+    pub dialled: Vec<(f64, String)>,
+    /// How many look-up servers each edge proxy has, and what they are like.
+    pub servers: usize,
+    pub figures: EnumFigures,
+    pub client: lotussaddle_portability::Plan,
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub struct CoresPlan {
     pub count: usize,
@@ -93,6 +110,8 @@
             let net = root.maybe("net").map(|node| NetPlan::read(&node.block())).unwrap_or_default();
             let troubles =
                 root.maybe("troubles").map(|node| Trouble::read_all(&node.block())).unwrap_or_default();
+            let numbers =
+                root.maybe("numbers").map(|node| NumbersPlan::read(&node.block(), plan.as_ref(), &troubles));
             if let Some(plan) = plan.as_ref()
                 && u64::from(plan.proxies) != root.whole("edges", 1..=1000, None)
             {
@@ -108,6 +127,7 @@
                 fall_within: root.time("fall-within", MS * 100..=S * 60, Some(S)),
                 list_late: root.time("list-late", Duration::ZERO..=S * 60, Some(S * 2)),
                 net,
+                numbers,
                 troubles,
                 plan: plan.unwrap_or_else(RouteSheet::empty),
                 cores: cores.unwrap_or_default(),
@@ -182,6 +202,9 @@
             spelled(n.caller),
             n.jitter
         );
+        if let Some(numbers) = &self.numbers {
+            out.push_str(&numbers.kdl());
+        }
         let _ = writeln!(out, "troubles {{");
         for trouble in &self.troubles {
             let _ = writeln!(out, "  {}", trouble.kdl());
@@ -215,6 +238,7 @@
                 within_s: self.fall_within.as_secs_f64(),
             },
             capacities: Default::default(),
+            numbers: self.numbers.as_ref().map(|numbers| numbers.brief(&self.plan)),
         }
     }
 
@@ -267,11 +291,118 @@
             heeds: self.callers.heeds,
             repeats: self.callers.repeats,
             shifts: self.callers.shifts,
+            dialled: self.numbers.as_ref().map(|numbers| numbers.dialled.clone()).unwrap_or_default(),
             until: self.lasts,
         }
     }
 }
 
+impl NumbersPlan {
+    fn read(block: &Block, plan: Option<&RouteSheet>, troubles: &[Trouble]) -> Self {
+        let wall = block.text("wall", None);
+        let read: Option<Timestamp> = wall.parse().ok();
+        if read.is_none() && !wall.is_empty() {
+            block.wrong(format!("wall wants a time such as \"2026-12-31T22:59:50Z\", not {wall:?}"));
+        }
+        let known = plan.map(RouteSheet::known).unwrap_or_default();
+        let mut generations: Vec<(String, String)> = Vec::new();
+        let mut made: Vec<Arc<Tables>> = Vec::new();
+        for node in block.many("generation") {
+            let name = node.text(0).unwrap_or_default();
+            let base = |of: &str| made.iter().find(|tables| tables.name == of).cloned();
+            // Read here too, so that its mistakes are told with their places in the day file.
+            let loaded = Loaded::read(&node.block(), &name, &known, &no_lines, &base);
+            if node.is_right() {
+                made.extend(Tables::of(loaded, &base).map(Arc::new));
+            }
+            generations.push((name, node.source()));
+        }
+        if generations.is_empty() {
+            block.wrong("generation is missing: numbers are analysed by one at least");
+        }
+        for trouble in troubles {
+            if let Kind::Swap { generation, .. } = &trouble.kind
+                && !generations.iter().any(|(name, _)| name == generation)
+            {
+                block.wrong(format!("a trouble swaps in generation {generation}, which is not here"));
+            }
+        }
+        let look_ups = block.maybe("look-ups").map(|node| {
+            let inner = node.block();
+            let usual = lotussaddle_portability::Plan::default();
+            let servers = inner.whole("servers", 1..=16, Some(2)) as usize;
+            let client = lotussaddle_portability::Plan {
+                servers,
+                suffix: inner.text("suffix", Some(&usual.suffix)),
+                first_wait: inner.time("wait", MS..=S * 10, Some(usual.first_wait)),
+                tries: inner.whole("tries", 1..=10, Some(usual.tries.into())) as u32,
+                remembered: inner.whole("remembered", 0..=10_000_000, Some(usual.remembered as u64)) as usize,
+                stale: inner.time("stale", Duration::ZERO..=S * 3600, Some(usual.stale)),
+                limited: inner.flag("limited", Some(true)),
+                breaks: inner.flag("breaks", Some(true)),
+                ..usual
+            };
+            (servers, lotussaddle_standin::sheets::enum_figures(&inner), client)
+        });
+        let (servers, figures, client) = look_ups.unwrap_or_else(|| {
+            let figures =
+                EnumFigures { suffix: "e164.arpa".into(), takes: MS, moved: 0.0, to: Vec::new(), ttl: 60 };
+            (1, figures, lotussaddle_portability::Plan::default())
+        });
+        let dialled = lotussaddle_standin::sheets::dialled(block);
+        if dialled.is_empty() {
+            block.wrong("dialled is missing: what do callers dial?");
+        }
+        Self { wall: read.unwrap_or(Timestamp::UNIX_EPOCH), generations, dialled, servers, figures, client }
+    }
+
+    fn kdl(&self) -> String {
+        let mut out = format!("numbers {{\n  wall \"{}\"\n", self.wall);
+        for (share, pattern) in &self.dialled {
+            let _ = writeln!(out, "  dialled {share:?} {pattern:?}");
+        }
+        let c = &self.client;
+        let _ = writeln!(
+            out,
+            "  look-ups {{ servers {}; wait {:?}; tries {}; remembered {}; stale {:?}; limited #{}; breaks #{}; {} }}",
+            self.servers,
+            spelled(c.first_wait),
+            c.tries,
+            c.remembered,
+            spelled(c.stale),
+            c.limited,
+            c.breaks,
+            lotussaddle_standin::sheets::enum_kdl(&self.figures),
+        );
+        for (name, source) in &self.generations {
+            let _ = writeln!(out, "  generation {name:?} {{\n{source}\n  }}");
+        }
+        out + "}\n"
+    }
+
+    fn brief(&self, plan: &RouteSheet) -> NumbersBrief {
+        NumbersBrief {
+            wall: self.wall.to_string(),
+            groups: plan.groups.iter().map(|group| (group.name.clone(), group.cores.clone())).collect(),
+            generations: self.generations.clone(),
+            suffix: self.figures.suffix.clone(),
+        }
+    }
+
+    /// One of the generations, read and made.
+    pub fn generation(
+        &self, plan: &RouteSheet, name: &str, bases: &[Arc<Tables>],
+    ) -> Result<Arc<Tables>, String> {
+        let (_, text) =
+            self.generations.iter().find(|(known, _)| known == name).ok_or("there is no such file")?;
+        let sheet = Sheet::read(&format!("{name}.kdl"), text).map_err(|mistakes| mistakes.to_string())?;
+        let base = |of: &str| bases.iter().find(|tables| tables.name == of).cloned();
+        let loaded = Loaded::read(&sheet.root(), name, &plan.known(), &no_lines, &base);
+        sheet.finish().map_err(|mistakes| mistakes.to_string())?;
+        Tables::of(loaded, &base).map(Arc::new).ok_or_else(|| "what it changes is gone".into())
+    }
+}
+
 impl Default for CoresPlan {
     fn default() -> Self {
         Self {
--- a/crates/day/src/trouble.rs
+++ b/crates/day/src/trouble.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use lotussaddle_sheet::{Block, Node, spelled};
+use lotussaddle_standin::{Ill, Illness};
 
 const MS: Duration = Duration::from_millis(1);
 const S: Duration = Duration::from_secs(1);
@@ -109,6 +110,26 @@
         part: f64,
         gap: Duration,
     },
+    /// Look-up servers (this part of them) are ill.
+    LookUps {
+        part: f64,
+        illness: Illness,
+    },
+    /// Another generation of tables is ordered, in force after a while; at the end it is undone, or not.
+    Swap {
+        generation: String,
+        after: Duration,
+        undo: bool,
+    },
+    /// By turns each generation, again and again.
+    Swaps {
+        every: Duration,
+    },
+    /// A tenant's callers dial so many times as many numbers, all at random.
+    Flood {
+        tenant: usize,
+        times: f64,
+    },
 }
 
 impl Trouble {
@@ -133,6 +154,10 @@
             Kind::Refuse { .. } => "refuse",
             Kind::HalfOpen { .. } => "half-open",
             Kind::Trickle { .. } => "trickle",
+            Kind::LookUps { .. } => "look-ups",
+            Kind::Swap { .. } => "swap",
+            Kind::Swaps { .. } => "swaps",
+            Kind::Flood { .. } => "flood",
         }
     }
 
@@ -211,6 +236,23 @@
                 put("part", real(part));
                 put("gap", text(gap));
             }
+            Kind::LookUps { part, illness } => {
+                let how = Ill::ALL.iter().find(|(_, ill)| *ill == illness.ill).map_or("", |(name, _)| name);
+                put("part", real(part));
+                put("how", format!("{how:?}"));
+                put("share", real(&illness.share));
+                put("by", text(&illness.by));
+            }
+            Kind::Swap { generation, after, undo } => {
+                put("generation", format!("{generation:?}"));
+                put("after", text(after));
+                put("undo", format!("#{undo}"));
+            }
+            Kind::Swaps { every } => put("every", text(every)),
+            Kind::Flood { tenant, times } => {
+                put("tenant", tenant.to_string());
+                put("times", real(times));
+            }
         }
         out + "}"
     }
@@ -264,6 +306,17 @@
         "refuse" => Kind::Refuse { part: part() },
         "half-open" => Kind::HalfOpen { part: part() },
         "trickle" => Kind::Trickle { part: part(), gap: time("gap", S) },
+        "look-ups" => Kind::LookUps { part: part(), illness: lotussaddle_standin::sheets::illness(&block)? },
+        "swap" => Kind::Swap {
+            generation: block.text("generation", None),
+            after: block.time("after", Duration::ZERO..=HOUR, Some(Duration::ZERO)),
+            undo: block.flag("undo", Some(false)),
+        },
+        "swaps" => Kind::Swaps { every: time("every", S * 60) },
+        "flood" => Kind::Flood {
+            tenant: block.whole("tenant", 0..=10_000, Some(0)) as usize,
+            times: block.real("times", 1.0..=1000.0, None),
+        },
         _ => return None,
     };
     Some(Trouble {
--- a/crates/day/src/virt.rs
+++ b/crates/day/src/virt.rs
@@ -2,6 +2,7 @@
 //! them. The same seed gives the same record, to the byte.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Result;
@@ -9,6 +10,7 @@
 use lotussaddle::interface::{DialogueId, RoutePlan};
 use lotussaddle_edge::{Decisions, Edge, Limits, LinkId, Note, Wires};
 use lotussaddle_judge::{Brief, Judge, Line, Verdict};
+use lotussaddle_numbers::Tables;
 use lotussaddle_trunk::{Decoder, Frame, Message};
 
 use crate::plan::Day;
@@ -29,6 +31,8 @@
     Lost(u64),
     Connected(u64),
     Recorded(u64),
+    Loaded(String, Result<Arc<Tables>, String>),
+    Replied(usize, Vec<u8>),
 }
 
 struct Seat<D> {
@@ -48,8 +52,12 @@
     Up(usize, u64),
     Said(u64, Message),
     Lost(u64),
+    Asked(usize, usize, Vec<u8>),
 }
 
+/// Tables on their way from the disk: to whom, in which life, which, and what they may be a change of.
+type Loading = (usize, u64, String, Vec<Arc<Tables>>);
+
 /// The make-believe sockets.
 struct Nets {
     next: u64,
@@ -68,6 +76,7 @@
     /// What each edge proxy finds when it starts again.
     recorded: Vec<BTreeSet<DialogueId>>,
     records: u64,
+    loading: BTreeMap<(Duration, u64), Loading>,
     remembers: bool,
     lives: Vec<u64>,
 }
@@ -104,6 +113,10 @@
         false
     }
 
+    fn reply(&mut self, edge: usize, server: usize, datagram: Vec<u8>) {
+        self.inputs.push_back((edge, Input::Replied(server, datagram)));
+    }
+
     fn kill(&mut self, edge: usize) {
         self.kills.push_back((edge, true));
     }
@@ -177,6 +190,19 @@
         Some(number)
     }
 
+    fn load(&mut self, name: &str, bases: Vec<Arc<Tables>>) -> bool {
+        self.nets.records += 1;
+        let number = self.nets.records;
+        let at = self.nets.now + Duration::from_millis(3 + number * 13 % 90);
+        let life = self.nets.lives[self.edge];
+        self.nets.loading.insert((at, number), (self.edge, life, name.into(), bases));
+        true
+    }
+
+    fn ask(&mut self, server: usize, datagram: &[u8]) {
+        self.nets.deeds.push_back(Deed::Asked(self.edge, server, datagram.to_vec()));
+    }
+
     fn log(&mut self, note: Note, line: &str) {
         let (at, edge) = (self.nets.now.as_secs_f64(), self.edge);
         self.nets.logs.push(format!("{at:>10.6} edge-{edge} {note:?}: {line}"));
@@ -252,6 +278,7 @@
             stalls: VecDeque::new(),
             logs: Vec::new(),
             recording: BTreeMap::new(),
+            loading: BTreeMap::new(),
             recorded: vec![BTreeSet::new(); day.edges],
             records: 0,
             remembers: play.remembers,
@@ -292,6 +319,17 @@
         seat.edge =
             Some(Edge::with(&name, "list", self.day.plan.plan(), limits, |plan| decisions(plan, seed)));
         self.nets.lives[edge] = seat.life;
+        if let Some(numbers) = &self.day.numbers {
+            let wall = numbers.wall.checked_add(self.now).unwrap_or(numbers.wall);
+            let look_ups = (numbers.client.clone(), seed.rotate_left(17));
+            let mut analysis = self.day.plan.numbers(wall, Some(look_ups));
+            if let Some((first, _)) = numbers.generations.first()
+                && let Ok(tables) = numbers.generation(&self.day.plan, first, &[])
+            {
+                analysis.begin_with(tables);
+            }
+            seat.edge.as_mut().expect("it was made").analyse_by(analysis);
+        }
         for id in &self.nets.recorded[edge] {
             seat.edge.as_mut().expect("it was made").recall(id);
         }
@@ -312,6 +350,9 @@
         if let Some(((at, _), _)) = self.nets.recording.first_key_value() {
             due = due.min(*at);
         }
+        if let Some(((at, _), _)) = self.nets.loading.first_key_value() {
+            due = due.min(*at);
+        }
         self.now = self.now.max(due);
         self.nets.now = self.now;
         if !self.begun && self.now >= WARM_UP {
@@ -328,6 +369,15 @@
                 self.bring(edge, Input::Recorded(number));
             }
         }
+        while let Some(entry) = self.nets.loading.first_entry().filter(|e| e.key().0 <= self.now) {
+            let (edge, life, name, bases) = entry.remove();
+            if life == self.nets.lives[edge]
+                && let Some(numbers) = &self.day.numbers
+            {
+                let tables = numbers.generation(&self.day.plan, &name, &bases);
+                self.bring(edge, Input::Loaded(name, tables));
+            }
+        }
         for edge in 0..self.seats.len() {
             let seat = &mut self.seats[edge];
             let now = self.now - seat.epoch;
@@ -396,6 +446,7 @@
                 said.into_iter().for_each(|message| self.world.said(now, link, message));
             }
             Deed::Lost(link) => self.world.lost(now, link),
+            Deed::Asked(edge, server, datagram) => self.world.asked(now, edge, server, &datagram),
         }
     }
 
@@ -413,6 +464,8 @@
             Input::Lost(link) => known.lost(now, LinkId(link), "closed by its peer", &mut ends),
             Input::Connected(link) => known.connected(now, LinkId(link), &mut ends),
             Input::Recorded(number) => known.recorded(now, number, &mut ends),
+            Input::Loaded(name, tables) => known.loaded(now, &name, tables, &mut ends),
+            Input::Replied(server, datagram) => known.replied(now, server, &datagram, &mut ends),
         }
     }
 
--- a/crates/day/src/world.rs
+++ b/crates/day/src/world.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use lotussaddle::interface::{Listed, ServerId, ServerNumber};
-use lotussaddle_judge::{Line, Way, What};
-use lotussaddle_standin::{CoreServer, Crowd, Floor, Listing, Mood, PoolList, Strain};
+use lotussaddle_judge::{Line, Way, What, hex};
+use lotussaddle_standin::{CoreServer, Crowd, EnumServer, Floor, Listing, Mood, PoolList, Strain};
 use lotussaddle_trunk::{Frame, Message};
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
@@ -43,6 +43,8 @@
     /// From now on a link passes a byte at a time towards the edge proxy, so far apart; false: it cannot, and the
     /// world is to delay what passes instead.
     fn drip(&mut self, link: u64, gap: Duration) -> bool;
+    /// A look-up server says something to an edge proxy.
+    fn reply(&mut self, edge: usize, server: usize, datagram: Vec<u8>);
     fn kill(&mut self, edge: usize);
     fn start(&mut self, edge: usize);
     fn stall(&mut self, edge: usize, still: bool);
@@ -136,6 +138,9 @@
     lines: Vec<Line>,
     capacities: BTreeMap<String, f64>,
     alive: Vec<bool>,
+    /// Which life of each edge proxy this is: what is said to a former one gets nowhere.
+    lives: Vec<u64>,
+    look_ups: Vec<EnumServer>,
 }
 
 impl World {
@@ -157,8 +162,14 @@
             lines: Vec::new(),
             capacities: BTreeMap::new(),
             alive: vec![true; day.edges],
+            lives: vec![0; day.edges],
+            look_ups: Vec::new(),
             day,
         };
+        if let Some(numbers) = world.day.numbers.clone() {
+            let server = |_| EnumServer::new(numbers.figures.clone(), world.rng.random());
+            world.look_ups = (0..numbers.servers).map(server).collect();
+        }
         for number in 0..world.day.cores.count {
             world.new_core(number as i64, number % world.day.regions, ground);
         }
@@ -235,7 +246,8 @@
         let turn = self.turns.first_key_value().map(|((at, _), _)| *at);
         let models = self.cores.iter().filter_map(|core| core.model.next_due());
         let models = models.chain(self.list.next_due()).chain(self.crowd.next_due());
-        models.chain(parcel).chain(turn).min().unwrap_or(Duration::MAX)
+        let look_ups = self.look_ups.iter().filter_map(EnumServer::next_due);
+        models.chain(look_ups).chain(parcel).chain(turn).min().unwrap_or(Duration::MAX)
     }
 
     // Inputs of the ground
@@ -288,6 +300,18 @@
         self.send(link, Parcel::ToFar(message));
     }
 
+    /// An edge proxy asks a look-up server.
+    pub fn asked(&mut self, now: Duration, edge: usize, server: usize, datagram: &[u8]) {
+        self.now = now;
+        let bytes = hex(datagram);
+        self.note(What::Datagram { edge, server, way: Way::Out, bytes });
+        let there = now + self.day.net.same * 2;
+        let from = edge as u64 | self.lives[edge] << 32;
+        if let Some(model) = self.look_ups.get_mut(server) {
+            model.heard(there, from, datagram);
+        }
+    }
+
     /// A link's end at the edge proxy is gone.
     pub fn lost(&mut self, now: Duration, link: u64) {
         self.now = now;
@@ -315,6 +339,16 @@
                 self.with_core(core, ground, |model, now, acts| model.alarm(now, acts));
             }
         }
+        for server in 0..self.look_ups.len() {
+            for (to, datagram) in self.look_ups[server].alarm(now) {
+                let (edge, life) = (to as u32 as usize, to >> 32);
+                if self.alive[edge] && life == self.lives[edge] {
+                    let bytes = hex(&datagram);
+                    self.note(What::Datagram { edge, server, way: Way::In, bytes });
+                    ground.reply(edge, server, datagram);
+                }
+            }
+        }
         let mut acts = Acts::default();
         if self.list.next_due().is_some_and(|due| due <= now) {
             self.list.alarm(now, &mut acts);
@@ -519,6 +553,7 @@
             | Kind::HalfOpen { part }
             | Kind::Trickle { part, .. } => (in_service(self), *part),
             Kind::Stall { part, .. } | Kind::Kill { part } => ((0..self.day.edges).collect(), *part),
+            Kind::LookUps { part, .. } => ((0..self.look_ups.len()).collect(), *part),
             Kind::LinesLost { region, .. } => {
                 let cores = in_service(self);
                 return cores.into_iter().filter(|c| self.cores[*c].region == *region).collect();
@@ -597,7 +632,16 @@
                 }
             }
             Kind::Trickle { gap, .. } => self.set_drip(&struck, *gap, ground),
-            Kind::Ageing { .. } | Kind::Replace { .. } | Kind::Stall { .. } => {
+            Kind::LookUps { illness, .. } => {
+                struck.iter().for_each(|server| self.look_ups[*server].illness.push(*illness));
+            }
+            Kind::Swap { generation, after, .. } => {
+                let mut acts = Acts::default();
+                self.list.swap(self.now, generation, *after, &mut acts);
+                self.carry_out(acts, ground);
+            }
+            Kind::Flood { tenant, times } => self.crowd.mood.flooding = Some((*tenant, *times)),
+            Kind::Ageing { .. } | Kind::Replace { .. } | Kind::Stall { .. } | Kind::Swaps { .. } => {
                 self.turn(self.now, Turn::Step(place, 0));
             }
         }
@@ -637,6 +681,7 @@
             Kind::Kill { .. } => {
                 for edge in struck {
                     if !std::mem::replace(&mut self.alive[edge], true) {
+                        self.lives[edge] += 1;
                         self.note(What::Started { edge });
                         ground.start(edge);
                     }
@@ -650,6 +695,20 @@
                 }
             }
             Kind::Trickle { .. } => self.set_drip(&struck, Duration::ZERO, ground),
+            Kind::LookUps { illness, .. } => {
+                for server in struck {
+                    self.look_ups[server].illness.retain(|known| known != illness);
+                }
+            }
+            Kind::Swap { undo, .. } => {
+                if *undo {
+                    let mut acts = Acts::default();
+                    self.list.undo(self.now, &mut acts);
+                    self.carry_out(acts, ground);
+                }
+            }
+            Kind::Flood { .. } => self.crowd.mood.flooding = None,
+            Kind::Swaps { .. } => {}
             Kind::MassRestart { .. } | Kind::HalfOpen { .. } | Kind::Replace { .. } | Kind::Stall { .. } => {}
         }
     }
@@ -692,6 +751,23 @@
                     self.turn(now + gap, Turn::Step(place, step + 1));
                 }
             }
+            Kind::Swaps { every } => {
+                let names: Vec<String> = self
+                    .day
+                    .numbers
+                    .iter()
+                    .flat_map(|n| &n.generations)
+                    .map(|(name, _)| name.clone())
+                    .collect();
+                if let Some(name) = names.get((step as usize + 1) % names.len().max(1)) {
+                    let mut acts = Acts::default();
+                    self.list.swap(self.now, name, Duration::ZERO, &mut acts);
+                    self.carry_out(acts, ground);
+                }
+                if *every * (step as u32 + 2) <= end.saturating_sub(trouble.at) {
+                    self.turn(self.now + *every, Turn::Step(place, step + 1));
+                }
+            }
             Kind::Stall { each, every, .. } => {
                 let now = self.now;
                 for edge in struck {
--- a/crates/judge/src/judge.rs
+++ b/crates/judge/src/judge.rs
@@ -15,8 +15,8 @@
 pub struct Verdict {
     pub day: String,
     pub seed: u64,
-    /// How often each of the five rules was broken.
-    pub broken: [u64; 5],
+    /// How often each of the five rules was broken, and that launches agree with one generation of tables.
+    pub broken: [u64; 6],
     pub breaks: Vec<Break>,
     /// Cold servers pushed over, whoever is to blame.
     pub fell: u64,
@@ -64,7 +64,7 @@
 
     pub fn finish(self) -> Verdict {
         let (breaks, counts) = self.rules.finish(self.last);
-        let mut broken = [0; 5];
+        let mut broken = [0; 6];
         for found in &breaks {
             broken[Rule::ALL.iter().position(|rule| *rule == found.rule).unwrap_or_default()] += 1;
         }
--- a/crates/judge/src/lib.rs
+++ b/crates/judge/src/lib.rs
@@ -5,10 +5,14 @@
 
 mod gain;
 mod judge;
+mod numbers;
 mod record;
 mod rules;
 
 pub use gain::{Gain, Times};
 pub use judge::{Judge, Verdict};
-pub use record::{Brief, ColdRule, Line, ProductBrief, TenantBrief, Way, What, read_record, write_line};
+pub use record::{
+    Brief, ColdRule, Line, NumbersBrief, ProductBrief, TenantBrief, Way, What, hex, read_record, unhex,
+    write_line,
+};
 pub use rules::{Break, Rule};
--- a/crates/judge/src/record.rs
+++ b/crates/judge/src/record.rs
@@ -27,6 +27,21 @@
     pub cold: ColdRule,
     /// What each core server can set up a second when warm.
     pub capacities: BTreeMap<String, f64>,
+    /// Where numbers are analysed: by what.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub numbers: Option<NumbersBrief>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct NumbersBrief {
+    /// The time of day at the record's start.
+    pub wall: String,
+    /// Trunk groups: names, and the numbers of their core servers.
+    pub groups: Vec<(String, Vec<i64>)>,
+    /// Names and sheets; the first is in force when an edge proxy starts.
+    pub generations: Vec<(String, String)>,
+    /// Under what numbers are looked up.
+    pub suffix: String,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -88,6 +103,14 @@
         edge: usize,
         link: u64,
     },
+    /// A datagram between an edge proxy and a look-up server.
+    Datagram {
+        edge: usize,
+        server: usize,
+        way: Way,
+        /// Two hexadecimal digits a byte.
+        bytes: String,
+    },
     Started {
         edge: usize,
     },
@@ -116,6 +139,18 @@
     },
 }
 
+/// Bytes as a record has them.
+pub fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+pub fn unhex(text: &str) -> Option<Vec<u8>> {
+    if !text.is_ascii() || text.len() % 2 != 0 {
+        return None;
+    }
+    (0..text.len() / 2).map(|place| u8::from_str_radix(&text[place * 2..place * 2 + 2], 16).ok()).collect()
+}
+
 impl Line {
     pub fn time(&self) -> Duration {
         Duration::from_micros(self.at)
--- a/crates/judge/src/rules.rs
+++ b/crates/judge/src/rules.rs
@@ -7,6 +7,7 @@
 use lotussaddle_trunk::Frame;
 use serde::{Deserialize, Serialize};
 
+use crate::numbers::Agreement;
 use crate::record::{Brief, Line, Way, What};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -21,10 +22,13 @@
     Cold,
     /// 5: no relaunch within the release.
     Release,
+    /// Beside the five: each launch agrees with exactly one generation of tables, in force since the dialogue came.
+    Tables,
 }
 
 impl Rule {
-    pub const ALL: [Self; 5] = [Self::OneAnswer, Self::OneLaunch, Self::Drain, Self::Cold, Self::Release];
+    pub const ALL: [Self; 6] =
+        [Self::OneAnswer, Self::OneLaunch, Self::Drain, Self::Cold, Self::Release, Self::Tables];
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -120,6 +124,9 @@
     breaks: Vec<Break>,
     counts: Counts,
     now: Mark,
+    tables: Option<Agreement>,
+    /// Numbers of core servers, by name, as any list has told them.
+    numbers: HashMap<String, i64>,
 }
 
 fn span(seconds: f64) -> Duration {
@@ -135,6 +142,8 @@
             breaks: Vec::new(),
             counts: Counts::default(),
             now: Mark { line: 1, at: Duration::ZERO },
+            tables: brief.numbers.as_ref().map(|numbers| Agreement::new(brief, numbers)),
+            numbers: HashMap::new(),
         }
     }
 
@@ -149,7 +158,16 @@
                 self.proxy(*edge).links.insert(*link, far.clone());
             }
             What::Gone { edge, link } => self.gone(*edge, *link),
-            What::Started { .. } => {}
+            What::Started { edge } => {
+                if let Some(tables) = &mut self.tables {
+                    tables.started(*edge, self.now.at);
+                }
+            }
+            What::Datagram { edge, server, way, bytes } => {
+                if let Some(tables) = &mut self.tables {
+                    tables.datagram(*edge, *server, *way, bytes);
+                }
+            }
             What::Killed { edge } => {
                 let mut before = std::mem::take(self.proxy(*edge));
                 let answered = before.dialogues.iter().filter_map(|(id, d)| Some((id.clone(), d.answer?.1)));
@@ -221,6 +239,9 @@
         }
         match (way, frame) {
             (Way::In, Dial(dial)) => {
+                if let Some(tables) = &mut self.tables {
+                    tables.dialled(edge, now.at, dial);
+                }
                 let late = now.at + dial.time_left + span(self.brief.answer_grace_s);
                 let proxy = self.proxy(edge);
                 if let Some(known) = proxy.dialogues.get_mut(&dial.dialogue) {
@@ -283,7 +304,31 @@
                 }
                 self.counts.cut += 1;
             }
-            (Way::Out, Launch(launch)) => self.launched(edge, link, &launch.dialogue, launch.launch),
+            (Way::Out, Launch(launch)) => {
+                self.launched(edge, link, &launch.dialogue, launch.launch);
+                let far = self.proxy(edge).links.get(&link).cloned().unwrap_or_default();
+                let server = self.numbers.get(&far).copied();
+                let wrong =
+                    self.tables.as_mut().and_then(|tables| tables.launched(edge, now.at, launch, server));
+                if let Some((dialled, what)) = wrong {
+                    let marks = [Mark { line: now.line, at: dialled }, now];
+                    self.broken(Rule::Tables, edge, Some(&launch.dialogue), &far, what, &marks);
+                }
+            }
+            (Way::In, Tables { serial, order }) => {
+                if let Some(tables) = &mut self.tables {
+                    tables.ordered(edge, now.at, *serial, order);
+                }
+            }
+            (Way::Out, Tabled { serial, in_force, name, .. }) => {
+                let wrong = self
+                    .tables
+                    .as_mut()
+                    .and_then(|t| t.tabled(edge, now.at, *serial, *in_force, name.as_deref()));
+                if let Some(what) = wrong {
+                    self.broken(Rule::Tables, edge, None, "", what, &[now]);
+                }
+            }
             (Way::Out, Cancel { dialogue, launch }) => {
                 if let Some(known) = self.proxy(edge).dialogues.get_mut(dialogue)
                     && known.out.is_some_and(|(out, ..)| out == *launch)
@@ -482,6 +527,8 @@
         }
         for entry in entries {
             let server = entry.server.0.to_string();
+            self.numbers.insert(server.clone(), entry.number.0);
+            let proxy = self.proxies.entry(edge).or_default();
             if entry.listed == Listed::Active {
                 proxy.barred.remove(&server);
             } else {
--- a/crates/sheet/src/lib.rs
+++ b/crates/sheet/src/lib.rs
@@ -271,6 +271,19 @@
         self.entries().find(|e| e.name().is_some_and(|n| n.value() == name)).map(|e| e.value())
     }
 
+    /// No mistake has been found in it so far.
+    pub fn is_right(&self) -> bool {
+        let span = self.node.span();
+        let (from, to) = (span.offset(), span.offset() + span.len());
+        let (from, to) = (place(&self.sheet.text, from), place(&self.sheet.text, to));
+        !self.sheet.mistakes.borrow().iter().any(|m| (from..=to).contains(&(m.line, m.column)))
+    }
+
+    /// What stands between its braces, as it was written.
+    pub fn source(&self) -> String {
+        self.node.children().map(ToString::to_string).unwrap_or_default()
+    }
+
     pub fn block(&self) -> Block<'a> {
         let nodes = self.node.children().map(|c| c.nodes()).unwrap_or_default();
         Block { sheet: self.sheet, nodes, offset: self.node.span().offset(), asked: RefCell::default() }
--- a/crates/standin/src/crowd.rs
+++ b/crates/standin/src/crowd.rs
@@ -52,6 +52,8 @@
     pub repeats: f64,
     /// Where first choices go shifts this often; zero: never.
     pub shifts: Duration,
+    /// What is dialled, by weight; # stands for any digit. None: dials bear no number.
+    pub dialled: Vec<(f64, String)>,
     /// No first dial comes after this time.
     pub until: Duration,
 }
@@ -69,11 +71,13 @@
     pub hurried: Option<(f64, f64)>,
     /// This tenant's callers give up after such a part of the promised time and dial so many more times, at once.
     pub redialling: Option<(usize, f64, u32)>,
+    /// This tenant's callers dial numbers at random, so many times as many.
+    pub flooding: Option<(usize, f64)>,
 }
 
 impl Default for Mood {
     fn default() -> Self {
-        Self { surge: 1.0, hurried: None, redialling: None }
+        Self { surge: 1.0, hurried: None, redialling: None, flooding: None }
     }
 }
 
@@ -83,6 +87,7 @@
     tenant: Option<usize>,
     key: DialledKey,
     choice: ServerNumber,
+    dialled: Option<Arc<str>>,
     first: DialogueId,
     first_at: Duration,
     tries: u32,
@@ -282,12 +287,22 @@
         if now >= self.figures.until {
             return;
         }
-        let rate = self.figures.rate * self.mood.surge;
+        let flooding = self.mood.flooding.filter(|(tenant, _)| *tenant < self.figures.tenants.len());
+        let more = flooding.map_or(0.0, |(tenant, times)| {
+            let all: f64 = self.figures.tenants.iter().map(|tenant| tenant.share).sum();
+            (times - 1.0) * self.figures.tenants[tenant].share / all
+        });
+        let rate = self.figures.rate * self.mood.surge * (1.0 + more);
         let gap = Exp::new(rate).map_or(1.0, |exp| exp.sample(&mut self.rng));
         self.due(now + Duration::from_secs_f64(gap), Due::NextDial);
         let product = self.pick(|f| f.products.iter().map(|p| p.share).collect());
         let tenants = self.figures.tenants.len();
-        let tenant = (tenants > 0).then(|| self.pick(|f| f.tenants.iter().map(|t| t.share).collect()));
+        let floods =
+            move |tenant| flooding.filter(|(flooded, _)| *flooded == tenant).map_or(1.0, |(_, times)| times);
+        let shares =
+            |f: &CrowdFigures| f.tenants.iter().enumerate().map(|(n, t)| t.share * floods(n)).collect();
+        let tenant = (tenants > 0).then(|| self.pick(shares));
+        let dialled = self.draw_number(tenant.is_some_and(|tenant| floods(tenant) > 1.0));
         let choices = &self.figures.products[product].choices;
         // First choices lean to one server, another after each shift.
         let lean = self.shift as usize % choices.len().max(1);
@@ -297,11 +312,35 @@
         self.dialled += 1;
         let first = DialogueId(Arc::from(format!("{}-{}", self.figures.name, self.dialled)));
         let key = DialledKey(Arc::from(format!("k{}", self.dialled)));
-        let caller =
-            Caller { product, tenant, key, choice, first, first_at: now, tries: 0, came_back: false };
+        let caller = Caller {
+            product,
+            tenant,
+            key,
+            choice,
+            dialled,
+            first,
+            first_at: now,
+            tries: 0,
+            came_back: false,
+        };
         self.dial(now, caller, floor);
     }
 
+    /// A fifth of the numbers are of the few that many dial.
+    fn draw_number(&mut self, at_random: bool) -> Option<Arc<str>> {
+        if self.figures.dialled.is_empty() {
+            return None;
+        }
+        let pattern = self.pick(|f| f.dialled.iter().map(|(share, _)| *share).collect());
+        let pattern = self.figures.dialled[pattern].1.clone();
+        let often = !at_random && self.rng.random::<f64>() < 0.2;
+        let digit = |rng: &mut Pcg64Mcg| {
+            if often { "37".as_bytes()[rng.random_range(0..2)] } else { b'0' + rng.random_range(0..10u8) }
+        };
+        let number = pattern.chars().map(|c| if c == '#' { digit(&mut self.rng) as char } else { c });
+        Some(Arc::from(number.collect::<String>()))
+    }
+
     fn pick(&mut self, weights: impl Fn(&CrowdFigures) -> Vec<f64>) -> usize {
         let weights = weights(&self.figures);
         let mut left = self.rng.random::<f64>() * weights.iter().sum::<f64>();
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,13 +6,15 @@
 
 mod core;
 mod crowd;
+mod enum_server;
 mod list;
 pub mod sheets;
 pub mod shell;
 
 pub use crate::core::{CoreFigures, CoreServer, Reports, Strain};
 pub use crate::crowd::{CallerProduct, Crowd, CrowdFigures, CrowdTenant, Mood};
-pub use crate::list::{Listing, PoolList};
+pub use crate::enum_server::{EnumFigures, EnumServer, Ill, Illness};
+pub use crate::list::{Listing, PoolList, Tabled};
 
 use lotussaddle_trunk::Message;
 
--- a/crates/standin/src/list.rs
+++ b/crates/standin/src/list.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use lotussaddle::interface::{Listed, ServerId, ServerNumber};
-use lotussaddle_trunk::{Entry, Frame, Hello, Message, Role, VERSION};
+use lotussaddle_trunk::{Entry, Frame, Hello, Message, Role, TablesOrder, VERSION};
 
 use crate::Floor;
 
@@ -29,12 +29,93 @@
     /// How late it is.
     pub late: Duration,
     links: BTreeMap<u64, bool>,
+    orders: Orders,
+    /// What edge proxies said came of orders, by link.
+    pub tabled: Vec<Tabled>,
 }
 
+/// Orders about tables, as whoever keeps the list gives them.
+#[derive(Default)]
+struct Orders {
+    serial: u64,
+    /// The swap in force: its serial, its generation, and when.
+    now: Option<(u64, Arc<str>, Duration)>,
+    /// What swaps that may be undone would lead back to.
+    before: Vec<Option<(u64, Arc<str>, Duration)>>,
+    /// Swaps that wait for their time.
+    timed: BTreeMap<(Duration, u64), Arc<str>>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tabled {
+    pub link: u64,
+    pub serial: u64,
+    pub in_force: u64,
+    pub why: Option<Arc<str>>,
+}
+
+/// Edge proxies that answered, kept at most; who reads them takes them out.
+const MOST_TABLED: usize = 10_000;
+
 impl PoolList {
     pub fn new(late: Duration, known: impl IntoIterator<Item = Listing>) -> Self {
         let known = known.into_iter().map(|listing| (listing.server.clone(), listing)).collect();
-        Self { known, coming: VecDeque::new(), late, links: BTreeMap::new() }
+        let (coming, links) = (VecDeque::new(), BTreeMap::new());
+        Self { known, coming, late, links, orders: Orders::default(), tabled: Vec::new() }
+    }
+
+    /// A generation is to be read, and to be in force after this time.
+    pub fn swap(&mut self, now: Duration, name: &str, after: Duration, floor: &mut dyn Floor) {
+        let name: Arc<str> = Arc::from(name);
+        self.order(TablesOrder::Load { name: name.clone() }, floor);
+        self.order(TablesOrder::Swap { name: name.clone(), after }, floor);
+        let serial = self.orders.serial;
+        if after.is_zero() {
+            self.in_force(serial, name, now);
+        } else {
+            self.orders.timed.insert((now + after, serial), name);
+        }
+    }
+
+    /// The last swap is undone.
+    pub fn undo(&mut self, now: Duration, floor: &mut dyn Floor) {
+        let Some((of, ..)) = self.orders.now else { return };
+        let Some(before) = self.orders.before.pop() else { return };
+        self.order(TablesOrder::Undo { of }, floor);
+        let serial = self.orders.serial;
+        self.orders.now = before.map(|(_, name, _)| (serial, name, now));
+    }
+
+    fn in_force(&mut self, serial: u64, name: Arc<str>, now: Duration) {
+        let before = self.orders.now.replace((serial, name, now));
+        self.orders.before.push(before);
+        if self.orders.before.len() > 3 {
+            self.orders.before.remove(0);
+        }
+    }
+
+    fn order(&mut self, order: TablesOrder, floor: &mut dyn Floor) {
+        self.orders.serial += 1;
+        let serial = self.orders.serial;
+        for (link, _) in self.links.iter().filter(|(_, greeted)| **greeted) {
+            floor.say(*link, Frame::Tables { serial, order: order.clone() }.into());
+        }
+    }
+
+    /// Whoever comes up anew is told what is in force and what waits. Two serials for each, so that both orders keep
+    /// theirs: that of the swap is the higher one.
+    fn tell_orders(&self, now: Duration, link: u64, floor: &mut dyn Floor) {
+        let in_force = self.orders.now.iter().map(|(serial, name, _)| (*serial, name, Duration::ZERO));
+        let timed =
+            self.orders.timed.iter().map(|((at, serial), name)| (*serial, name, at.saturating_sub(now)));
+        let mut all: Vec<_> = in_force.chain(timed).collect();
+        all.sort_by_key(|(serial, ..)| *serial);
+        for (serial, name, after) in all {
+            let load = TablesOrder::Load { name: name.clone() };
+            floor.say(link, Frame::Tables { serial: serial.saturating_sub(1), order: load }.into());
+            let swap = TablesOrder::Swap { name: name.clone(), after };
+            floor.say(link, Frame::Tables { serial, order: swap }.into());
+        }
     }
 
     /// Something has changed; it will be told.
@@ -64,6 +145,12 @@
                 for (place, piece) in all.chunks(PIECE).enumerate() {
                     floor.say(link, Frame::List { whole: place == 0, entries: piece.to_vec() }.into());
                 }
+                self.tell_orders(now, link, floor);
+            }
+            Frame::Tabled { serial, in_force, why, .. } => {
+                if self.tabled.len() < MOST_TABLED {
+                    self.tabled.push(Tabled { link, serial, in_force, why });
+                }
             }
             Frame::Pong { .. } => {}
             _ => {
@@ -74,10 +161,15 @@
     }
 
     pub fn next_due(&self) -> Option<Duration> {
-        self.coming.front().map(|(due, _)| *due)
+        let timed = self.orders.timed.first_key_value().map(|((at, _), _)| *at);
+        self.coming.front().map(|(due, _)| *due).into_iter().chain(timed).min()
     }
 
     pub fn alarm(&mut self, now: Duration, floor: &mut dyn Floor) {
+        while let Some(entry) = self.orders.timed.first_entry().filter(|entry| entry.key().0 <= now) {
+            let ((at, serial), name) = entry.remove_entry();
+            self.in_force(serial, name, at);
+        }
         let mut entries = Vec::new();
         while let Some((due, listing)) = self.coming.front()
             && *due <= now
--- a/crates/standin/src/sheets.rs
+++ b/crates/standin/src/sheets.rs
@@ -4,11 +4,13 @@
 use std::time::Duration;
 
 use lotussaddle::interface::{Listed, ServerId, ServerNumber};
+use lotussaddle_numbers::Digits;
 use lotussaddle_sheet::{Block, Mistakes, Node, Sheet};
 
 use crate::core::{CoreFigures, Reports};
 use crate::crowd::{CallerProduct, CrowdFigures, CrowdTenant};
 use crate::list::Listing;
+use crate::{EnumFigures, Ill, Illness};
 
 const MS: Duration = Duration::from_millis(1);
 const S: Duration = Duration::from_secs(1);
@@ -26,6 +28,8 @@
     pub listen: SocketAddr,
     pub late: Duration,
     pub entries: Vec<Listing>,
+    /// Generations of tables, and after how long each is in force.
+    pub swaps: Vec<(Duration, String)>,
 }
 
 pub struct CallersSheet {
@@ -124,6 +128,15 @@
                 listen: address(&root, "listen"),
                 late: root.time("late", Duration::ZERO..=S * 600, Some(Duration::ZERO)),
                 entries: entries.collect(),
+                swaps: root
+                    .many("swap")
+                    .into_iter()
+                    .filter_map(|node| {
+                        let after =
+                            node.block().time("after", Duration::ZERO..=HOUR * 24, Some(Duration::ZERO));
+                        Some((after, node.text(0)?))
+                    })
+                    .collect(),
             }
         };
         sheet.finish()?;
@@ -173,6 +186,7 @@
                 heeds: root.real("heeds", 0.0..=1.0, Some(0.7)),
                 repeats: root.real("repeats", 0.0..=1.0, Some(0.5)),
                 shifts: root.time("shifts", Duration::ZERO..=HOUR, Some(Duration::ZERO)),
+                dialled: dialled(&root),
                 until: root.time("lasts", MS..=HOUR, Some(S * 60)),
             };
             Self { edges, seed: root.whole("seed", 0..=u64::MAX, Some(1)), figures }
@@ -181,3 +195,87 @@
         Ok(found)
     }
 }
+
+/// What is dialled: `dialled SHARE PATTERN`, # standing for any digit.
+pub fn dialled(block: &Block) -> Vec<(f64, String)> {
+    let all = block.many("dialled").into_iter().filter_map(|node| {
+        let (share, pattern) = (node.real(0, 1e-6..=1e6)?, node.text(1)?);
+        let fine = pattern.len() <= 40 && pattern.chars().all(|c| c.is_ascii_digit() || "+#*".contains(c));
+        if !fine {
+            node.wrong(format!("{pattern:?}: a pattern has digits, + and #, 40 signs at most"));
+        }
+        Some((share, pattern))
+    });
+    all.collect()
+}
+
+/// Figures of a look-up server.
+pub fn enum_figures(block: &Block) -> EnumFigures {
+    let to = block.maybe("to").map(|node| {
+        let to = (0..node.arguments()).filter_map(|n| {
+            let text = node.text(n)?;
+            let digits = Digits::parse(&text).ok().filter(|digits| digits.is_international());
+            if digits.is_none() {
+                node.wrong(format!("{text}: a routing number begins with +"));
+            }
+            digits
+        });
+        to.collect()
+    });
+    EnumFigures {
+        suffix: block.text("suffix", Some("e164.arpa")),
+        takes: block.time("takes", Duration::ZERO..=S * 60, Some(MS * 5)),
+        moved: block.real("moved", 0.0..=1.0, Some(0.0)),
+        to: to.unwrap_or_default(),
+        ttl: block.whole("holds", 0..=86_400, Some(60)) as u32,
+    }
+}
+
+pub fn enum_kdl(figures: &EnumFigures) -> String {
+    let to: Vec<String> = figures.to.iter().map(|to| format!("\"{to}\"")).collect();
+    let (suffix, takes) = (&figures.suffix, lotussaddle_sheet::spelled(figures.takes));
+    let to = if to.is_empty() { String::new() } else { format!("to {}; ", to.join(" ")) };
+    format!("suffix {suffix:?}; takes {takes:?}; moved {:?}; {to}holds {}; ", figures.moved, figures.ttl)
+}
+
+/// A look-up server by itself.
+pub struct EnumSheet {
+    pub listen: SocketAddr,
+    pub seed: u64,
+    pub figures: EnumFigures,
+    pub illness: Vec<Illness>,
+}
+
+impl EnumSheet {
+    pub fn read(sheet: Sheet) -> Result<Self, Mistakes> {
+        let found = {
+            let root = sheet.root();
+            let listen = address(&root, "listen");
+            let illness = root.many("ill").into_iter().filter_map(|node| illness(&node.block()));
+            let illness = illness.collect();
+            Self {
+                listen,
+                seed: root.whole("seed", 0..=u64::MAX, Some(1)),
+                figures: enum_figures(&root),
+                illness,
+            }
+        };
+        sheet.finish()?;
+        Ok(found)
+    }
+}
+
+/// What is wrong with a look-up server: `how "slow"; share 0.5; by "300ms"`.
+pub fn illness(block: &Block) -> Option<Illness> {
+    let how = block.text("how", None);
+    let ill = Ill::ALL.iter().find(|(name, _)| *name == how).map(|(_, ill)| *ill);
+    if ill.is_none() && !how.is_empty() {
+        let known: Vec<&str> = Ill::ALL.iter().map(|(name, _)| *name).collect();
+        block.wrong(format!("how may be {}, not {how:?}", known.join(", ")));
+    }
+    let (share, by) = (
+        block.real("share", 0.0..=1.0, Some(1.0)),
+        block.time("by", Duration::ZERO..=S * 60, Some(MS * 300)),
+    );
+    Some(Illness { ill: ill?, share, by })
+}
--- a/crates/standin/src/shell.rs
+++ b/crates/standin/src/shell.rs
@@ -1,7 +1,8 @@
 //! Stand-ins on sockets, each by itself: a loop round a model and a hub of links.
 
+use std::collections::VecDeque;
 use std::io::Write;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, UdpSocket};
 use std::path::Path;
 use std::time::{Duration, Instant};
 
@@ -11,8 +12,8 @@
 use lotussaddle_sheet::Sheet;
 use lotussaddle_trunk::Message;
 
-use crate::sheets::{CallersSheet, CoreSheet, ListSheet};
-use crate::{CoreServer, Crowd, Floor, PoolList};
+use crate::sheets::{CallersSheet, CoreSheet, EnumSheet, ListSheet};
+use crate::{CoreServer, Crowd, EnumServer, Floor, PoolList};
 
 /// Between two lines of standing on standard output.
 const SAY_EVERY: Duration = Duration::from_secs(5);
@@ -211,7 +212,53 @@
     let sheet = ListSheet::read(Sheet::load(sheet)?)?;
     let (floor, happenings) = sockets(Vec::new())?;
     let _gate = open(&floor, sheet.listen)?;
-    run(PoolList::new(sheet.late, sheet.entries), floor, &happenings)
+    let (mut list, mut floor) = (PoolList::new(sheet.late, sheet.entries), floor);
+    for (after, name) in &sheet.swaps {
+        list.swap(Duration::ZERO, name, *after, &mut floor);
+    }
+    run(list, floor, &happenings)
+}
+
+/// A look-up server: datagrams instead of links.
+pub fn look_ups(sheet: &Path) -> Result<()> {
+    let sheet = EnumSheet::read(Sheet::load(sheet)?)?;
+    let socket =
+        UdpSocket::bind(sheet.listen).with_context(|| format!("cannot listen at {}", sheet.listen))?;
+    println!("listening {}", socket.local_addr()?);
+    std::io::stdout().flush()?;
+    let mut model = EnumServer::new(sheet.figures, sheet.seed);
+    model.illness = sheet.illness;
+    serve_look_ups(model, &socket, &|| false)
+}
+
+/// Until `over` says so.
+pub fn serve_look_ups(mut model: EnumServer, socket: &UdpSocket, over: &dyn Fn() -> bool) -> Result<()> {
+    let start = Instant::now();
+    // Whoever asked, by number: a bounded memory of who that was.
+    let mut askers: VecDeque<(u64, SocketAddr)> = VecDeque::new();
+    let (mut count, mut buffer) = (0, [0; 1024]);
+    while !over() {
+        let wait =
+            model.next_due().map_or(Duration::from_millis(50), |due| due.saturating_sub(start.elapsed()));
+        let wait = wait.clamp(Duration::from_micros(200), Duration::from_millis(50));
+        socket.set_read_timeout(Some(wait))?;
+        if let Ok((length, from)) = socket.recv_from(&mut buffer) {
+            count += 1;
+            askers.push_back((count, from));
+            if askers.len() > 65_536 {
+                askers.pop_front();
+            }
+            model.heard(start.elapsed(), count, &buffer[..length]);
+        }
+        for (to, reply) in model.alarm(start.elapsed()) {
+            let first = askers.front().map_or(0, |(first, _)| *first);
+            let asker = to.checked_sub(first).and_then(|place| askers.get(place as usize));
+            if let Some((_, address)) = asker {
+                let _ = socket.send_to(&reply, address);
+            }
+        }
+    }
+    Ok(())
 }
 
 pub fn callers(sheet: &Path) -> Result<()> {
