--- a/crates/cli/src/report.rs
+++ b/crates/cli/src/report.rs
@@ -4,12 +4,13 @@
 
 use lotussaddle_judge::{Rule, Verdict};
 
-const RULES: [&str; 5] = [
+const RULES: [&str; 6] = [
     "1 one final answer before the cut-off, nothing after",
     "2 never two launches out",
     "3 nothing new to a draining or gone server",
     "4 no cold server pushed over",
     "5 no relaunch within the release",
+    "6 each launch agrees with one generation of tables",
 ];
 
 pub fn text(v: &Verdict) -> String {
--- a/crates/day/src/plan.rs
+++ b/crates/day/src/plan.rs
@@ -315,7 +315,7 @@
             if node.is_right() {
                 made.extend(Tables::of(loaded, &base).map(Arc::new));
             }
-            generations.push((name, node.source()));
+            generations.push((name, node.source().trim().to_string()));
         }
         if generations.is_empty() {
             block.wrong("generation is missing: numbers are analysed by one at least");
--- a/crates/day/src/world.rs
+++ b/crates/day/src/world.rs
@@ -174,6 +174,9 @@
             world.new_core(number as i64, number % world.day.regions, ground);
         }
         world.list = PoolList::new(world.day.list_late, world.cores.iter().map(listing));
+        if let Some((first, _)) = world.day.numbers.as_ref().and_then(|numbers| numbers.generations.first()) {
+            world.list.begin_with(first);
+        }
         for edge in 0..world.day.edges {
             world.note(What::Started { edge });
         }
--- a/crates/edge/src/numbers.rs
+++ b/crates/edge/src/numbers.rs
@@ -276,7 +276,9 @@
             TablesOrder::Swap { name, after } => {
                 Waiting::Order(Order::Swap { name: name.to_string(), at: now + after })
             }
-            TablesOrder::Undo { of } => Waiting::Order(Order::Undo { of }),
+            TablesOrder::Undo { of, to } => {
+                Waiting::Order(Order::Undo { of, to: to.map(|to| to.to_string()) })
+            }
             TablesOrder::Drop { of } => Waiting::Order(Order::Drop { of }),
         };
         self.orders.push_back((serial, waiting));
@@ -328,7 +330,8 @@
 
     fn tell(&mut self, swapped: Swapped) {
         match swapped {
-            Swapped::InForce(serial, name) => self.say(serial, Some(&name), None),
+            // Of several that came up together after a stall, each was in force for a moment.
+            Swapped::InForce(serial, name) => self.say_of(serial, serial, Some(&name), None),
             Swapped::Waits(serial) => self.say(serial, None, Some("waits for its time".into())),
             Swapped::Dropped(serial) => self.say(serial, None, None),
             Swapped::Not(serial, why) => self.say(serial, None, Some(why.to_string())),
@@ -336,13 +339,16 @@
     }
 
     fn say(&mut self, serial: u64, name: Option<&str>, why: Option<String>) {
+        self.say_of(serial, self.generations.serial(), name, why);
+    }
+
+    fn say_of(&mut self, serial: u64, in_force: u64, name: Option<&str>, why: Option<String>) {
         let short = |why: String| -> Arc<str> {
             let plain = why.chars().map(|c| if c.is_control() { ' ' } else { c });
             let mut text: String = plain.take(MOST_WHY).collect();
             text.truncate(text.floor_char_boundary(MOST_WHY));
             text.into()
         };
-        let in_force = self.generations.serial();
         let name = name.map(|name| short(name.into()));
         self.said.push(Frame::Tabled { serial, in_force, name, why: why.map(short) });
     }
--- a/crates/numbers/src/generations.rs
+++ b/crates/numbers/src/generations.rs
@@ -22,7 +22,8 @@
     /// This generation, staged or loaded before, is in force from then on.
     Swap { name: String, at: Duration },
     /// What was in force before the swap of this serial is in force again; only while that swap is the last one.
-    Undo { of: u64 },
+    /// Where it is named, it is that one, whatever was in force here.
+    Undo { of: u64, to: Option<String> },
     /// A swap that waits for its time is dropped.
     Drop { of: u64 },
 }
@@ -140,7 +141,7 @@
                     Ok(Swapped::Waits(serial))
                 }
             },
-            Order::Undo { of } => self.undo(serial, of),
+            Order::Undo { of, to } => self.undo(serial, of, to),
             Order::Drop { of } => {
                 let before = self.timed.len();
                 self.timed.retain(|(_, waiting), _| *waiting != of);
@@ -185,15 +186,22 @@
         Ok(Swapped::InForce(serial, name.into()))
     }
 
-    fn undo(&mut self, serial: u64, of: u64) -> Result<Swapped, NoSwap> {
+    fn undo(&mut self, serial: u64, of: u64, to: Option<String>) -> Result<Swapped, NoSwap> {
         if self.now.is_none() || self.serial() != of {
             return Err(NoSwap::NotLast(of));
         }
-        let before = self.before.back().cloned().ok_or(NoSwap::Nothing)?;
-        self.in_place(&before.tables)?;
-        self.before.pop_back();
-        let name = before.tables.name.clone();
-        if let Some(undone) = self.now.replace(Force { serial, tables: before.tables }) {
+        let before = self.before.back().map(|force| force.tables.clone());
+        let tables = match &to {
+            Some(name) => before.filter(|tables| tables.name == *name).or_else(|| self.named(name)),
+            None => before,
+        };
+        let tables = tables.ok_or_else(|| to.map_or(NoSwap::Nothing, NoSwap::NotStaged))?;
+        self.in_place(&tables)?;
+        if self.before.back().is_some_and(|force| Arc::ptr_eq(&force.tables, &tables)) {
+            self.before.pop_back();
+        }
+        let name = tables.name.clone();
+        if let Some(undone) = self.now.replace(Force { serial, tables }) {
             self.gone.push(undone.tables);
         }
         Ok(Swapped::InForce(serial, name))
--- a/crates/standin/src/list.rs
+++ b/crates/standin/src/list.rs
@@ -64,6 +64,11 @@
         Self { known, coming, late, links, orders: Orders::default(), tabled: Vec::new() }
     }
 
+    /// What edge proxies have in force when they start.
+    pub fn begin_with(&mut self, name: &str) {
+        self.orders.now = Some((0, Arc::from(name), Duration::ZERO));
+    }
+
     /// A generation is to be read, and to be in force after this time.
     pub fn swap(&mut self, now: Duration, name: &str, after: Duration, floor: &mut dyn Floor) {
         let name: Arc<str> = Arc::from(name);
@@ -81,7 +86,11 @@
     pub fn undo(&mut self, now: Duration, floor: &mut dyn Floor) {
         let Some((of, ..)) = self.orders.now else { return };
         let Some(before) = self.orders.before.pop() else { return };
-        self.order(TablesOrder::Undo { of }, floor);
+        let to = before.as_ref().map(|(_, name, _)| name.clone());
+        if let Some(name) = to.clone() {
+            self.order(TablesOrder::Load { name }, floor);
+        }
+        self.order(TablesOrder::Undo { of, to }, floor);
         let serial = self.orders.serial;
         self.orders.now = before.map(|(_, name, _)| (serial, name, now));
     }
@@ -108,7 +117,7 @@
         let in_force = self.orders.now.iter().map(|(serial, name, _)| (*serial, name, Duration::ZERO));
         let timed =
             self.orders.timed.iter().map(|((at, serial), name)| (*serial, name, at.saturating_sub(now)));
-        let mut all: Vec<_> = in_force.chain(timed).collect();
+        let mut all: Vec<_> = in_force.chain(timed).filter(|(serial, ..)| *serial > 0).collect();
         all.sort_by_key(|(serial, ..)| *serial);
         for (serial, name, after) in all {
             let load = TablesOrder::Load { name: name.clone() };
--- a/crates/trunk/src/codec.rs
+++ b/crates/trunk/src/codec.rs
@@ -331,7 +331,12 @@
             match order {
                 TablesOrder::Load { name } => to.whole(WHY, 0).text(NAME, name),
                 TablesOrder::Swap { name, after } => to.whole(WHY, 1).text(NAME, name).time(TIME, *after),
-                TablesOrder::Undo { of } => to.whole(WHY, 2).whole(OF, *of),
+                TablesOrder::Undo { of, to: name } => {
+                    if let Some(name) = name {
+                        to.text(NAME, name);
+                    }
+                    to.whole(WHY, 2).whole(OF, *of)
+                }
                 TablesOrder::Drop { of } => to.whole(WHY, 3).whole(OF, *of),
             };
             TABLES
@@ -580,7 +585,7 @@
             let order = match f.need(WHY, whole)? {
                 0 => TablesOrder::Load { name: f.need(NAME, text)? },
                 1 => TablesOrder::Swap { name: f.need(NAME, text)?, after: f.need(TIME, time)? },
-                2 => TablesOrder::Undo { of: f.need(OF, whole)? },
+                2 => TablesOrder::Undo { of: f.need(OF, whole)?, to: f.maybe(NAME, text)? },
                 3 => TablesOrder::Drop { of: f.need(OF, whole)? },
                 _ => return Err(f.wrong(WHY, "is not known")),
             };
--- a/crates/trunk/src/frame.rs
+++ b/crates/trunk/src/frame.rs
@@ -226,8 +226,13 @@
         #[serde(with = "texts::micros")]
         after: Duration,
     },
-    /// What was in force before that swap is in force again, if that swap is the last one.
-    Undo { of: u64 },
+    /// What was in force before that swap is in force again, if that swap is the last one. An edge proxy that started
+    /// since then does not know what that was, and is told.
+    Undo {
+        of: u64,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        to: Option<Arc<str>>,
+    },
     /// A swap that waits for its time is dropped.
     Drop { of: u64 },
 }
