Edge: hard cases of numbers, a swap at every step of a dialogue's way

Reason: a dialogue must go by one generation whatever is swapped or undone while it waits, is launched or turned back; and a look-up that hangs must cost it no more than patience allows.

Change: scripted cases in virtual time: look-ups past patience with and without another way, late answers kept for the next, hang-ups, a second link, stalls, each pair of steps for a swap and its undo with both answers, a timed swap and one by hand with 3,000 look-ups out, a first choice that is not there, broken tables, orders without bound.

--- /dev/null
+++ b/crates/edge/tests/numbers.rs
@@ -0,0 +1,499 @@
+//! Hard cases of numbers at one edge proxy: look-ups that hang, generations that change at each step of a dialogue's
+//! way. Times in milliseconds; all that is said is kept.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use lotussaddle::interface::*;
+use lotussaddle_edge::{Edge, Limits, LinkId, Note, Numbers, Wires};
+use lotussaddle_numbers::{Group, Known, Loaded, Tables, Timestamp, no_lines};
+use lotussaddle_portability::{Plan, answer, question_of};
+use lotussaddle_sheet::Sheet;
+use lotussaddle_trunk::*;
+
+fn ms(time: u64) -> Duration {
+    Duration::from_millis(time)
+}
+
+fn id(name: &str) -> DialogueId {
+    DialogueId(Arc::from(name))
+}
+
+#[derive(Default)]
+struct Trace {
+    links: u64,
+    begun: Vec<(LinkId, String)>,
+    said: Vec<(LinkId, Frame)>,
+    asked: Vec<(usize, Vec<u8>)>,
+    loading: Vec<(String, Vec<Arc<Tables>>)>,
+    gone: Vec<String>,
+}
+
+impl Wires for Trace {
+    fn say(&mut self, link: LinkId, message: Message) -> bool {
+        self.said.push((link, message.frame));
+        true
+    }
+    fn connect(&mut self, address: &str) -> LinkId {
+        self.links += 1;
+        self.begun.push((LinkId(self.links), address.into()));
+        LinkId(self.links)
+    }
+    fn close(&mut self, _link: LinkId, _why: &str) {}
+    fn log(&mut self, _note: Note, _line: &str) {}
+    fn load(&mut self, name: &str, bases: Vec<Arc<Tables>>) -> bool {
+        self.loading.push((name.into(), bases));
+        true
+    }
+    fn ask(&mut self, server: usize, datagram: &[u8]) {
+        self.asked.push((server, datagram.to_vec()));
+    }
+    fn let_go(&mut self, tables: Vec<Arc<Tables>>) {
+        self.gone.extend(tables.iter().map(|tables| tables.name.clone()));
+    }
+}
+
+const HEAD: &str = r#"
+plan "de" { country "49"; area "30"; international "00"; trunk "0"; emergency "112"; }
+way "north" { route "north"; }
+way "south" { route "south"; product "urgent"; }
+way "far" { route "south"; first 7; }
+way "sure" { ported; table "carriers"; else "north"; late "refuse"; within "5s" }
+tenant "*" { plan "de"; table "main"; }
+"#;
+
+/// The old generation asks whether a number has moved, and leads north or south by the answer; the new one leads
+/// south by itself, under another product.
+fn sheet(name: &str) -> String {
+    let rest = match name {
+        "old" => {
+            r#"way "moved" { ported; table "carriers"; else "north"; late "go-on"; within "300ms" }
+               table "main" { prefix "112" "north"; prefix "+49" "moved"; prefix "+40" "sure"; prefix "+41" "far" }
+               table "carriers" { otherwise "south" }"#
+        }
+        "new" => {
+            r#"table "main" { prefix "112" "north"; otherwise "south" }
+               table "carriers" { otherwise "south" }"#
+        }
+        other => other,
+    };
+    format!("{HEAD}{rest}")
+}
+
+fn known() -> Known {
+    let group = |name: &str, cores: &[i64]| Group { name: name.into(), cores: cores.to_vec() };
+    Known {
+        groups: vec![group("north", &[0, 1]), group("south", &[2, 3, 7])],
+        products: vec!["voice".into(), "urgent".into()],
+        tenants: vec![],
+    }
+}
+
+fn tables(name: &str) -> Result<Arc<Tables>, String> {
+    let sheet = Sheet::read(name, &sheet(name)).map_err(|mistakes| mistakes.to_string())?;
+    let loaded = Loaded::read(&sheet.root(), name, &known(), &no_lines, &|_| None);
+    sheet.finish().map_err(|mistakes| mistakes.to_string())?;
+    Ok(Arc::new(Tables::of(loaded, &|_| None).unwrap()))
+}
+
+fn plan() -> RoutePlan {
+    let product = |servers: Option<&[i64]>| Product {
+        promised: ms(1500),
+        lasts: ms(8000),
+        patience: ms(9000),
+        gain: 1.0,
+        late_share: 0.25,
+        servers: servers.map(|all| all.iter().copied().map(ServerNumber).collect()),
+    };
+    // Each of two products: by itself, in the north, in the south.
+    let groups: [Option<&[i64]>; 3] = [None, Some(&[0, 1]), Some(&[2, 3, 7])];
+    RoutePlan {
+        proxies: 1,
+        products: (0..2).flat_map(|_| groups.map(product)).collect(),
+        tenants: vec![],
+        over_quota_share: 0.2,
+        tick: ms(5),
+        release: ms(300),
+        resend: Duration::ZERO,
+        max_launches: 4,
+        marks_again: true,
+        may_cancel: true,
+        longest_return: ms(2000),
+        cold_share: 0.4,
+        warm_after: ms(10_000),
+        fall_multiple: 2.5,
+    }
+}
+
+struct Bench {
+    edge: Edge,
+    trace: Trace,
+    now: u64,
+}
+
+impl Bench {
+    fn without_tables() -> Self {
+        Self::with(Plan::default())
+    }
+
+    fn with(look_ups: Plan) -> Self {
+        let mut edge = Edge::new("edge-0", "list", plan(), 7, Limits::default());
+        let wall: Timestamp = "2026-12-31T22:59:50Z".parse().unwrap();
+        edge.analyse_by(Numbers::new(vec![ms(1500); 2], 2, wall, Some((look_ups, 1))));
+        let mut bench = Self { edge, trace: Trace::default(), now: 0 };
+        bench.at(0);
+        let list = bench.link_to("list");
+        bench.edge.connected(ms(0), list, &mut bench.trace);
+        bench.hears(list, Frame::Hello(Hello::new(Role::List, "list".into())));
+        let entries = (0..4).map(|n| Entry {
+            server: ServerId(Arc::from(format!("core-{n}"))),
+            number: ServerNumber(n),
+            address: Arc::from(format!("core-{n}")),
+            listed: Listed::Active,
+            life: 0,
+            age: Duration::ZERO,
+        });
+        bench.hears(list, Frame::List { whole: true, entries: entries.collect() });
+        for n in 0..4 {
+            let name = format!("core-{n}");
+            let link = bench.link_to(&name);
+            bench.edge.connected(ms(0), link, &mut bench.trace);
+            bench.hears(link, Frame::Hello(Hello::new(Role::Core, name.as_str().into())));
+        }
+        for (link, name) in [(100, "gateway"), (101, "gateway")] {
+            bench.edge.linked(ms(0), LinkId(link), &mut bench.trace);
+            bench.hears(LinkId(link), Frame::Hello(Hello::new(Role::Caller, name.into())));
+        }
+        bench.at(10);
+        bench
+    }
+
+    fn new() -> Self {
+        let mut bench = Self::without_tables();
+        bench.edge.numbers().unwrap().begin_with(tables("old").unwrap());
+        bench
+    }
+
+    fn link_to(&self, address: &str) -> LinkId {
+        self.trace.begun.iter().rev().find(|(_, known)| known == address).expect("it was begun").0
+    }
+
+    fn at(&mut self, time: u64) -> &mut Self {
+        while self.edge.next_due() <= ms(time) {
+            let due = self.edge.next_due().max(ms(self.now));
+            self.now = due.as_millis() as u64;
+            self.edge.alarm(due, &mut self.trace);
+        }
+        self.now = time;
+        self
+    }
+
+    fn hears(&mut self, link: LinkId, frame: Frame) -> &mut Self {
+        self.edge.heard(ms(self.now), link, frame.into(), &mut self.trace);
+        self
+    }
+
+    fn dials_for(&mut self, name: &str, number: &str, time_left: u64) -> &mut Self {
+        let dial = Dial {
+            dialogue: id(name),
+            key: None,
+            product: 0,
+            tenant: None,
+            first_choice: ServerNumber(0),
+            width: 1.0,
+            time_left: ms(time_left),
+            again: false,
+            came_back: false,
+            sent_at: None,
+            try_of: None,
+            dialled: Some(number.into()),
+        };
+        self.hears(LinkId(100), Frame::Dial(dial))
+    }
+
+    fn dials(&mut self, name: &str, number: &str) -> &mut Self {
+        self.dials_for(name, number, 3000)
+    }
+
+    fn replies(&mut self, question: usize, moved: bool) -> &mut Self {
+        let (server, asked) = self.trace.asked[question].clone();
+        let asked = question_of(&asked, "e164.arpa").unwrap().0;
+        let rule = [(1, 1, "u", "E2U+pstn:tel", "!^.*$!tel:+49;npdi;rn=+49999!", ".")];
+        let reply = answer(&asked, moved.then_some(&rule[..]), 60);
+        self.edge.replied(ms(self.now), server, &reply, &mut self.trace);
+        self
+    }
+
+    fn orders(&mut self, serial: u64, order: TablesOrder) -> &mut Self {
+        let list = self.link_to("list");
+        self.hears(list, Frame::Tables { serial, order })
+    }
+
+    /// All generations asked for are read.
+    fn reads(&mut self) -> &mut Self {
+        for (name, _bases) in std::mem::take(&mut self.trace.loading) {
+            self.edge.loaded(ms(self.now), &name, tables(&name), &mut self.trace);
+        }
+        self
+    }
+
+    fn swaps(&mut self, serial: u64, name: &str, after: u64) -> &mut Self {
+        self.orders(serial, TablesOrder::Load { name: name.into() });
+        self.orders(serial + 1, TablesOrder::Swap { name: name.into(), after: ms(after) }).reads()
+    }
+
+    fn launches(&self, name: &str) -> Vec<(String, Launch)> {
+        let far = |link: &LinkId| self.trace.begun.iter().find(|(known, _)| known == link).unwrap().1.clone();
+        let launches = self.trace.said.iter().filter_map(|(link, frame)| match frame {
+            Frame::Launch(launch) if launch.dialogue.0.as_ref() == name => Some((far(link), launch.clone())),
+            _ => None,
+        });
+        launches.collect()
+    }
+
+    fn said_of(&self, name: &str) -> Vec<&Frame> {
+        let of = |frame: &&Frame| frame.dialogue().is_some_and(|d| d.0.as_ref() == name);
+        self.trace.said.iter().map(|(_, frame)| frame).filter(of).collect()
+    }
+
+    fn tabled(&self) -> Vec<(u64, u64, String)> {
+        let tabled = self.trace.said.iter().filter_map(|(_, frame)| match frame {
+            Frame::Tabled { serial, in_force, why, .. } => {
+                Some((*serial, *in_force, why.as_deref().unwrap_or("done").to_string()))
+            }
+            _ => None,
+        });
+        tabled.collect()
+    }
+}
+
+/// Which generation a launch is by, as `sheet` has them.
+fn by(launch: &(String, Launch)) -> &'static str {
+    let (far, launch) = launch;
+    let south = far == "core-2" || far == "core-3";
+    match (south, launch.product, launch.routing.is_some()) {
+        (false, 0, false) | (true, 1, true) => "old",
+        (true, 1, false) => "new",
+        other => panic!("half of one and half of another: {far} {other:?}"),
+    }
+}
+
+#[test]
+fn a_look_up_that_hangs_past_patience_goes_on_unported_and_its_answer_is_the_nexts() {
+    let mut b = Bench::new();
+    b.dials("d1", "089333").at(309);
+    assert_eq!(b.launches("d1"), [], "it waits");
+    b.at(311);
+    assert_eq!(by(&b.launches("d1")[0]), "old");
+    assert!(b.launches("d1")[0].1.routing.is_none());
+    b.at(350).replies(0, true);
+    assert_eq!(b.launches("d1").len(), 1, "what comes later changes nothing for it");
+    b.dials("d2", "089333");
+    let moved = &b.launches("d2")[0].1;
+    assert_eq!((moved.routing.as_deref(), moved.number.as_deref()), (Some("+49999"), Some("+4989333")));
+    let counts = b.edge.counts();
+    assert_eq!((counts.analysed, counts.looked_up, counts.unanswered), (2, 1, 1));
+}
+
+#[test]
+fn a_look_up_that_hangs_where_nothing_else_will_do_is_refused_in_time() {
+    let mut b = Bench::new();
+    b.dials("d1", "0040333333").at(425);
+    assert_eq!(b.said_of("d1"), Vec::<&Frame>::new());
+    // All tries are over before patience is; then it is told at once.
+    b.at(435);
+    assert!(matches!(b.said_of("d1")[..], [Frame::Refused { .. }]));
+    // A caller without patience is let go before its own cut-off.
+    let mut b = Bench::new();
+    b.dials_for("d2", "0040333333", 100).at(109);
+    assert!(matches!(b.said_of("d2")[..], [Frame::Refused { .. }]), "{:?}", b.said_of("d2"));
+}
+
+#[test]
+fn a_caller_that_hangs_up_while_its_number_is_looked_up_is_gone() {
+    let mut b = Bench::new();
+    b.dials("d1", "089333").at(50);
+    b.hears(LinkId(100), Frame::HangUp { dialogue: id("d1") }).at(60).replies(0, true).at(2000);
+    assert_eq!(b.said_of("d1"), Vec::<&Frame>::new());
+    assert_eq!((b.edge.sizes().0, b.edge.numbers().unwrap().asking()), (0, 0));
+    // Its link going does the same.
+    b.dials("d2", "089444").at(2050);
+    b.edge.lost(ms(2050), LinkId(100), "closed by its peer", &mut b.trace);
+    b.at(5000);
+    assert_eq!(b.said_of("d2"), Vec::<&Frame>::new());
+    assert_eq!(b.edge.sizes().0, 0);
+}
+
+#[test]
+fn one_that_is_dialled_again_elsewhere_while_it_is_looked_up_is_one() {
+    let mut b = Bench::new();
+    b.dials("d1", "089333").at(50);
+    let dial = Dial {
+        dialogue: id("d1"),
+        key: None,
+        product: 0,
+        tenant: None,
+        first_choice: ServerNumber(0),
+        width: 1.0,
+        time_left: ms(2900),
+        again: false,
+        came_back: false,
+        sent_at: None,
+        try_of: None,
+        dialled: Some("089333".into()),
+    };
+    b.hears(LinkId(101), Frame::Dial(dial)).at(60).replies(0, false).at(70);
+    assert_eq!(b.launches("d1").len(), 1);
+    let report = LoadReport::default();
+    let link = b.link_to(&b.launches("d1")[0].0);
+    b.hears(link, Frame::Stood { dialogue: id("d1"), launch: LaunchNo(0), report });
+    let stands: Vec<LinkId> =
+        b.trace.said.iter().filter(|(_, f)| matches!(f, Frame::Stands { .. })).map(|(l, _)| *l).collect();
+    assert_eq!(stands, [LinkId(101)]);
+}
+
+#[test]
+fn an_answer_that_lay_in_a_queue_past_patience_is_too_late() {
+    let mut b = Bench::new();
+    b.dials("d1", "089333");
+    b.now = 700; // all stands still until then, and the answer has been there for long
+    b.replies(0, true);
+    let launches = b.launches("d1");
+    assert_eq!((launches.len(), launches[0].1.routing.is_none()), (1, true));
+}
+
+/// The way of one dialogue, in steps; tables are swapped before each of them, by turns.
+#[test]
+fn a_swap_at_any_step_leaves_a_dialogue_with_one_generation() {
+    let mut seen = std::collections::BTreeSet::new();
+    for swap_before in 0..9 {
+        for undo_before in swap_before..10 {
+            for moved in [false, true] {
+                let mut b = Bench::new();
+                let mut launch = None;
+                for step in 0..9u64 {
+                    b.at(20 + step * 20);
+                    if step == swap_before {
+                        b.swaps(1, "new", 0);
+                    }
+                    if step == undo_before {
+                        b.orders(5, TablesOrder::Undo { of: 2, to: None });
+                    }
+                    match step {
+                        1 => drop(b.dials("d1", "089333")),
+                        3 if !b.trace.asked.is_empty() => drop(b.replies(0, moved)),
+                        4 => {
+                            // The first launch is turned back, and another comes.
+                            let (far, sent) = b.launches("d1").last().expect("it is launched by now").clone();
+                            let link = b.link_to(&far);
+                            let (report, cause) = (LoadReport::default(), Cause::Processor);
+                            let (dialogue, no) = (id("d1"), sent.launch);
+                            b.hears(link, Frame::TurnedBack { dialogue, launch: no, cause, report });
+                            launch = Some(sent);
+                        }
+                        _ => {}
+                    }
+                }
+                b.at(2000);
+                let launches = b.launches("d1");
+                assert!(launches.len() >= 2 && launch.is_some(), "{launches:?}");
+                let bys: std::collections::BTreeSet<_> = launches.iter().map(by).collect();
+                assert_eq!(
+                    bys.len(),
+                    1,
+                    "swap before step {swap_before}, undo before {undo_before}: {launches:?}"
+                );
+                let wanted = if swap_before <= 1 && undo_before > 1 { "new" } else { "old" };
+                assert!(
+                    bys.contains(wanted),
+                    "swap before {swap_before}, undo before {undo_before}: {bys:?}"
+                );
+                seen.extend(bys);
+            }
+        }
+    }
+    assert_eq!(seen.len(), 2, "both were seen");
+}
+
+#[test]
+fn at_midnight_by_hand_and_with_thousands_of_look_ups_out() {
+    // Servers that hang are asked all the same, so that all wait until their patience ends.
+    let mut b = Bench::with(Plan { breaks: false, ..Plan::default() });
+    b.edge.numbers().unwrap().begin_with(tables("old").unwrap());
+    // A swap timed for 200 ms from now, and 3,000 dialogues whose look-ups are out by then.
+    b.swaps(1, "new", 200);
+    for n in 0..3000 {
+        b.dials(&format!("d{n}"), &format!("089{n:06}"));
+    }
+    assert!(b.edge.numbers().unwrap().asking() > 2900);
+    b.at(209);
+    // By hand, at the very moment: back to the old one, which is "old" still, and then undone.
+    b.orders(4, TablesOrder::Swap { name: "old".into(), after: ms(1) }).at(210);
+    assert_eq!(b.tabled().iter().filter(|(s, f, _)| s == f).map(|(s, ..)| *s).collect::<Vec<_>>(), [2, 4]);
+    b.orders(5, TablesOrder::Undo { of: 4, to: Some("new".into()) });
+    assert_eq!(b.edge.numbers().unwrap().generations.in_force().unwrap().name, "new");
+    b.dials("late", "089333");
+    assert_eq!(by(&b.launches("late")[0]), "new");
+    // What was asked goes on by the old one, all of it.
+    let before = b.edge.numbers().unwrap().generations.alive();
+    assert_eq!(before, 2);
+    for question in 0..b.trace.asked.len().min(16) {
+        b.replies(question, true);
+    }
+    b.at(900);
+    for n in 0..3000 {
+        if let Some(first) = b.launches(&format!("d{n}")).first() {
+            assert_eq!(by(first), "old", "d{n}");
+        }
+    }
+    assert_eq!(b.edge.numbers().unwrap().asking(), 0);
+    assert_eq!(b.edge.numbers().unwrap().generations.alive(), 1, "nobody holds the old one any more");
+}
+
+#[test]
+fn a_first_choice_that_is_not_there_leads_to_another_of_its_group() {
+    let mut b = Bench::new();
+    b.dials("d1", "0041333333").at(50);
+    // Core server 7 is in the group and in no list: the module passes it over.
+    let far = &b.launches("d1")[0].0;
+    assert!(far == "core-2" || far == "core-3", "{far}");
+}
+
+#[test]
+fn without_tables_a_number_is_declined_and_a_broken_one_changes_nothing() {
+    let mut b = Bench::without_tables();
+    b.dials("d1", "089333");
+    assert!(matches!(b.said_of("d1")[..], [Frame::Declined { why: NotTaken::NotReady, .. }]));
+    b.swaps(1, "way \"broken\" { }", 0);
+    assert_eq!(b.tabled().last().unwrap().2, "generation way \"broken\" { } is not staged");
+    b.swaps(5, "new", 0).dials("d2", "089333");
+    assert_eq!(by(&b.launches("d2")[0]), "new");
+    b.swaps(7, "way \"broken\" { }", 0).dials("d3", "089334");
+    assert_eq!(by(&b.launches("d3")[0]), "new");
+}
+
+#[test]
+fn orders_wait_for_a_generation_that_is_read_and_not_without_bound() {
+    let mut b = Bench::new();
+    b.orders(1, TablesOrder::Load { name: "new".into() });
+    for serial in 2..300 {
+        b.orders(serial, TablesOrder::Drop { of: 1 });
+    }
+    assert_eq!(b.tabled().iter().filter(|(.., why)| why == "too many orders wait").count(), 298 - 256);
+    b.reads();
+    // Each order has had one answer by now.
+    let mut answered: Vec<u64> = b.tabled().into_iter().map(|(serial, ..)| serial).collect();
+    answered.sort_unstable();
+    assert_eq!(answered, (1..300).collect::<Vec<_>>());
+}
+
+#[test]
+fn emergency_is_never_looked_up_and_barred_numbers_are_refused_at_once() {
+    let mut b = Bench::new();
+    b.dials("d1", "112").dials("d2", "0041").dials("d3", "#31#");
+    assert_eq!(b.launches("d1").len(), 1);
+    for name in ["d2", "d3"] {
+        assert!(matches!(b.said_of(name)[..], [Frame::Refused { .. }]), "{name}");
+    }
+    assert!(b.trace.asked.is_empty());
+}
