Numbers: a trie of shared parts in the place of sorted chunks

Change: nodes by sign while many prefixes share them, leaves of 32 in one piece below; a change copies the path to it.

--- a/crates/numbers/src/prefixes.rs
+++ b/crates/numbers/src/prefixes.rs
@@ -1,50 +1,221 @@
 //! Prefixes and what each leads to, made for one question: the longest one that a number begins with.
 //!
-//! All prefixes lie sorted in chunks. The last one that sorts before a number either covers it and is the longest
-//! that does, or is covered by the longest that does; so each entry bears the lengths of the prefixes that cover
-//! it, and a look-up is one search, seldom two. Chunks are shared between generations: a change copies the chunks
-//! it falls into and the index of chunks, nothing else. A prefix that comes or goes touches what it covers.
+//! A trie of signs as far as many prefixes share them; where few are left, a leaf holds them sorted, each with the
+//! one in the leaf that covers it next. A look-up walks from the root and remembers the last prefix that it came by;
+//! in the leaf it takes the last one that sorts before the number, and goes from there to what covers it. All parts
+//! are shared between generations: a change copies the path to what it changes and nothing else.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 
+use triomphe::ThinArc;
+
 use crate::Digits;
 
-/// Entries of a chunk when all are laid out anew, and at most.
-const FILL: usize = 96;
-const MOST: usize = 128;
-/// Chunks that an entry of the upper index stands for.
-const FAN: usize = 16;
+/// Prefixes of a leaf at most; beyond it, it becomes a node.
+const MOST: usize = 32;
+/// A node with fewer prefixes under it becomes a leaf: well below, so that none goes to and fro.
+const FEWEST: u32 = 12;
+/// No value. Values are below 2^24, since a leaf packs them.
+const NONE: u32 = u32::MAX;
+const MOST_VALUE: u32 = (1 << 24) - 1;
+const NO_PARENT: u32 = 0xff;
 
-#[derive(Clone, Copy)]
-struct Tail {
-    value: u32,
-    /// Bit n: a prefix of n signs covers this one.
-    covered: u16,
+#[derive(Clone, Default)]
+enum Child {
+    #[default]
+    Empty,
+    Node(Arc<Node>),
+    Leaf(Leaf),
 }
 
 #[derive(Clone)]
-struct Chunk {
-    keys: Vec<u64>,
-    tails: Vec<Tail>,
+struct Node {
+    /// What the prefix that ends here leads to.
+    own: u32,
+    /// Prefixes here and under it.
+    count: u32,
+    /// By sign: the digits, and "+" last.
+    children: [Child; 11],
 }
 
-#[derive(Clone, Default)]
-pub struct Prefixes {
-    chunks: Vec<Arc<Chunk>>,
-    /// The first key of each chunk, of each `FAN` chunks, of each `FAN` of these.
-    index: [Vec<u64>; 3],
-    len: usize,
+/// In one piece: keys in order, then tails, two to a word: what the prefix leads to, and the place of the one that
+/// covers it next.
+#[derive(Clone)]
+struct Leaf(ThinArc<u32, u64>);
+
+impl Leaf {
+    /// From prefixes in order.
+    fn new(entries: &[(u64, u32)]) -> Self {
+        let mut words: Vec<u64> = entries.iter().map(|(key, _)| *key).collect();
+        let mut tails: Vec<u64> = Vec::with_capacity(entries.len());
+        for (place, (key, value)) in entries.iter().enumerate() {
+            let key = Digits::from_raw(*key);
+            // What covers this one covers the one before it, or is it.
+            let mut parent = place.checked_sub(1);
+            while let Some(at) = parent.filter(|at| !key.starts_with(Digits::from_raw(entries[*at].0))) {
+                parent = usize::try_from(tails[at] >> 24).ok().filter(|at| *at != NO_PARENT as usize);
+            }
+            tails.push(u64::from(*value) | parent.map_or(u64::from(NO_PARENT), |at| at as u64) << 24);
+        }
+        words.extend(tails.chunks(2).map(|pair| pair[0] | pair.get(1).copied().unwrap_or_default() << 32));
+        Self(ThinArc::from_header_and_slice(entries.len() as u32, &words))
+    }
+
+    fn keys(&self) -> &[u64] {
+        &self.0.slice[..self.0.header.header as usize]
+    }
+
+    fn tail(&self, place: usize) -> (u32, u32) {
+        let word = self.0.slice[self.0.header.header as usize + place / 2];
+        let tail = (word >> (32 * (place % 2))) as u32;
+        (tail & MOST_VALUE, tail >> 24)
+    }
+
+    fn entries(&self) -> Vec<(u64, u32)> {
+        self.keys().iter().enumerate().map(|(place, key)| (*key, self.tail(place).0)).collect()
+    }
+
+    fn longest(&self, number: Digits) -> Option<(Digits, u32)> {
+        let keys = self.keys();
+        let mut place = keys.partition_point(|key| *key <= number.raw()).checked_sub(1)?;
+        loop {
+            let key = Digits::from_raw(keys[place]);
+            let (value, parent) = self.tail(place);
+            if number.starts_with(key) {
+                return Some((key, value));
+            }
+            if parent == NO_PARENT {
+                return None;
+            }
+            place = parent as usize;
+        }
+    }
+}
+
+/// Which child a number goes to at this depth; none: it ends there.
+fn branch(key: u64, depth: usize) -> Option<usize> {
+    if depth >= Digits::MOST {
+        return None;
+    }
+    ((key >> (60 - 4 * depth) & 15) as usize).checked_sub(1)
 }
 
-/// The last place whose key is not above; the first one must not be.
-fn last_at_most(keys: &[u64], key: u64) -> usize {
-    keys.partition_point(|k| *k <= key) - 1
+/// From prefixes in order that have the signs above this depth in common.
+fn build(entries: &[(u64, u32)], depth: usize) -> Child {
+    if entries.is_empty() {
+        return Child::Empty;
+    }
+    if entries.len() <= MOST {
+        return Child::Leaf(Leaf::new(entries));
+    }
+    let mut node = Node { own: NONE, count: entries.len() as u32, children: Default::default() };
+    let mut rest = entries;
+    if branch(rest[0].0, depth).is_none() {
+        node.own = rest[0].1;
+        rest = &rest[1..];
+    }
+    while let Some(place) = rest.first().and_then(|(key, _)| branch(*key, depth)) {
+        let end = rest.partition_point(|(key, _)| branch(*key, depth) == Some(place));
+        node.children[place] = build(&rest[..end], depth + 1);
+        rest = &rest[end..];
+    }
+    Child::Node(Arc::new(node))
+}
+
+impl Child {
+    fn count(&self) -> u32 {
+        match self {
+            Self::Empty => 0,
+            Self::Node(node) => node.count,
+            Self::Leaf(leaf) => leaf.0.header.header,
+        }
+    }
+
+    fn gather(&self, path: u64, depth: usize, out: &mut Vec<(u64, u32)>) {
+        match self {
+            Self::Empty => {}
+            Self::Leaf(leaf) => out.extend(leaf.entries()),
+            Self::Node(node) => {
+                if node.own != NONE {
+                    out.push((path, node.own));
+                }
+                for (place, child) in node.children.iter().enumerate() {
+                    if depth < Digits::MOST {
+                        child.gather(path | (place as u64 + 1) << (60 - 4 * depth), depth + 1, out);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Puts a value, or takes it out.
+    fn set(&mut self, key: u64, depth: usize, value: Option<u32>) {
+        match self {
+            Self::Empty => {
+                if let Some(value) = value {
+                    *self = Self::Leaf(Leaf::new(&[(key, value)]));
+                }
+            }
+            Self::Leaf(leaf) => {
+                let mut entries = leaf.entries();
+                match (entries.binary_search_by_key(&key, |(key, _)| *key), value) {
+                    (Ok(place), Some(value)) => entries[place].1 = value,
+                    (Ok(place), None) => drop(entries.remove(place)),
+                    (Err(place), Some(value)) => entries.insert(place, (key, value)),
+                    (Err(_), None) => return,
+                }
+                *self = build(&entries, depth);
+            }
+            Self::Node(node) => {
+                let node = Arc::make_mut(node);
+                match branch(key, depth) {
+                    None => {
+                        let (was, is) = (node.own != NONE, value.is_some());
+                        node.own = value.unwrap_or(NONE);
+                        node.count = node.count + u32::from(is) - u32::from(was);
+                    }
+                    Some(place) => {
+                        let child = &mut node.children[place];
+                        let before = child.count();
+                        child.set(key, depth + 1, value);
+                        node.count = node.count + child.count() - before;
+                    }
+                }
+                if node.count < FEWEST {
+                    let mut entries = Vec::new();
+                    let path = Digits::from_raw(key).first(depth).raw();
+                    self.gather(path, depth, &mut entries);
+                    *self = build(&entries, depth);
+                }
+            }
+        }
+    }
+
+    /// Parts, by where they lie, and bytes.
+    fn parts(&self, each: &mut dyn FnMut(usize, usize)) {
+        match self {
+            Self::Empty => {}
+            // Two counts of the shared pointer, and the allocator's head.
+            Self::Node(node) => {
+                each(Arc::as_ptr(node) as usize, size_of::<Node>() + 32);
+                node.children.iter().for_each(|child| child.parts(each));
+            }
+            Self::Leaf(leaf) => each(leaf.0.as_ptr() as usize, leaf.0.slice.len() * 8 + 40),
+        }
+    }
+}
+
+#[derive(Clone, Default)]
+pub struct Prefixes {
+    root: Child,
 }
 
 impl Prefixes {
-    /// From prefixes and their values; of one that comes twice the last counts.
+    /// From prefixes and their values, which are below 2^24; of one that comes twice the last counts.
     pub fn new(entries: impl IntoIterator<Item = (Digits, u32)>) -> Self {
         let mut entries: Vec<(u64, u32)> = entries.into_iter().map(|(d, v)| (d.raw(), v)).collect();
+        assert!(entries.iter().all(|(_, value)| *value <= MOST_VALUE), "a value of 2^24 or more");
         entries.sort_by_key(|(key, _)| *key);
         entries.dedup_by(|later, kept| {
             let same = later.0 == kept.0;
@@ -53,199 +224,83 @@
             }
             same
         });
-        let mut before: Option<(u64, u16)> = None;
-        let mut built = Self { len: entries.len(), ..Self::default() };
-        for part in entries.chunks(FILL) {
-            let mut chunk =
-                Chunk { keys: Vec::with_capacity(part.len()), tails: Vec::with_capacity(part.len()) };
-            for (key, value) in part {
-                let covered = before.map_or(0, |before| covering(before, *key));
-                before = Some((*key, covered));
-                chunk.keys.push(*key);
-                chunk.tails.push(Tail { value: *value, covered });
-            }
-            built.chunks.push(Arc::new(chunk));
-        }
-        built.index_anew();
-        built
+        Self { root: build(&entries, 0) }
     }
 
     pub fn len(&self) -> usize {
-        self.len
+        self.root.count() as usize
     }
 
     pub fn is_empty(&self) -> bool {
-        self.len == 0
+        self.len() == 0
     }
 
     /// The longest prefix that this number begins with, and its value.
     pub fn longest(&self, number: Digits) -> Option<(Digits, u32)> {
-        let (chunk, place) = self.last_before(number.raw())?;
-        let (key, tail) = (Digits::from_raw(chunk.keys[place]), chunk.tails[place]);
-        if number.starts_with(key) {
-            return Some((key, tail.value));
+        let (mut best, mut length) = (NONE, 0);
+        let (mut at, mut depth) = (&self.root, 0);
+        loop {
+            match at {
+                Child::Node(node) => {
+                    (best, length) = if node.own == NONE { (best, length) } else { (node.own, depth) };
+                    let Some(place) = branch(number.raw(), depth) else { break };
+                    (at, depth) = (&node.children[place], depth + 1);
+                }
+                Child::Leaf(leaf) => {
+                    if let Some(found) = leaf.longest(number) {
+                        return Some(found);
+                    }
+                    break;
+                }
+                Child::Empty => break,
+            }
         }
-        // Lengths up to what both have in common.
-        let shared = tail.covered & ((2u32 << number.common(key)) - 1) as u16;
-        let longest = shared.checked_ilog2()?;
-        let key = number.first(longest as usize);
-        Some((key, self.exact(key)?))
+        (best != NONE).then(|| (number.first(length), best))
     }
 
     /// What this very prefix leads to.
     pub fn exact(&self, prefix: Digits) -> Option<u32> {
-        let (chunk, place) = self.last_before(prefix.raw())?;
-        (chunk.keys[place] == prefix.raw()).then(|| chunk.tails[place].value)
+        self.longest(prefix).filter(|(found, _)| *found == prefix).map(|(_, value)| value)
     }
 
     pub fn iter(&self) -> impl Iterator<Item = (Digits, u32)> {
-        self.chunks.iter().flat_map(|chunk| {
-            chunk.keys.iter().zip(&chunk.tails).map(|(key, tail)| (Digits::from_raw(*key), tail.value))
-        })
-    }
-
-    fn last_before(&self, key: u64) -> Option<(&Chunk, usize)> {
-        let chunk = &*self.chunks[self.chunk_of(key)?];
-        Some((chunk, last_at_most(&chunk.keys, key)))
-    }
-
-    fn chunk_of(&self, key: u64) -> Option<usize> {
-        if key < *self.index[0].first()? {
-            return None;
-        }
-        let mut place = last_at_most(&self.index[2], key);
-        for level in [1, 0] {
-            let keys = &self.index[level];
-            let from = place * FAN;
-            place = from + last_at_most(&keys[from..keys.len().min(from + FAN)], key);
-        }
-        Some(place)
-    }
-
-    fn index_anew(&mut self) {
-        let firsts = self.chunks.iter().map(|chunk| chunk.keys[0]).collect::<Vec<_>>();
-        let upper = |keys: &[u64]| keys.iter().copied().step_by(FAN).collect::<Vec<_>>();
-        let middle = upper(&firsts);
-        self.index = [firsts, middle.clone(), upper(&middle)];
+        let mut entries = Vec::with_capacity(self.len());
+        self.root.gather(0, 0, &mut entries);
+        entries.into_iter().map(|(key, value)| (Digits::from_raw(key), value))
     }
 
     /// With some prefixes put (in the place of what they led to) or dropped; this one stays as it is.
     pub fn with(&self, changes: impl IntoIterator<Item = (Digits, Option<u32>)>) -> Self {
         let mut next = self.clone();
         for (prefix, value) in changes {
-            match value {
-                Some(value) => next.put(prefix, value),
-                None => next.take(prefix),
-            }
+            assert!(value.is_none_or(|value| value <= MOST_VALUE), "a value of 2^24 or more");
+            next.root.set(prefix.raw(), 0, value);
         }
-        next.index_anew();
         next
     }
 
-    /// Where a key is, or would be, in chunks whose index may be behind: the index is made anew once, at the end.
-    fn find(&self, key: u64) -> (usize, Result<usize, usize>) {
-        let chunk = self.chunks.partition_point(|chunk| chunk.keys[0] <= key).saturating_sub(1);
-        let found = self.chunks.get(chunk).map_or(Err(0), |chunk| chunk.keys.binary_search(&key));
-        (chunk, found)
-    }
-
-    fn put(&mut self, prefix: Digits, value: u32) {
-        let key = prefix.raw();
-        let (at, found) = self.find(key);
-        if self.chunks.is_empty() {
-            self.chunks.push(Arc::new(Chunk { keys: Vec::new(), tails: Vec::new() }));
-        }
-        match found {
-            Ok(place) => Arc::make_mut(&mut self.chunks[at]).tails[place].value = value,
-            Err(place) => {
-                let before = (place > 0).then(|| {
-                    let chunk = &self.chunks[at];
-                    (chunk.keys[place - 1], chunk.tails[place - 1].covered)
-                });
-                let covered = before.map_or(0, |before| covering(before, key));
-                self.len += 1;
-                let chunk = Arc::make_mut(&mut self.chunks[at]);
-                chunk.keys.insert(place, key);
-                chunk.tails.insert(place, Tail { value, covered });
-                if chunk.keys.len() > MOST {
-                    let half = chunk.keys.len() / 2;
-                    let (keys, tails) = (chunk.keys.split_off(half), chunk.tails.split_off(half));
-                    chunk.keys.shrink_to_fit();
-                    chunk.tails.shrink_to_fit();
-                    self.chunks.insert(at + 1, Arc::new(Chunk { keys, tails }));
-                }
-                self.mark(prefix, true);
-            }
-        }
-    }
-
-    fn take(&mut self, prefix: Digits) {
-        let (at, Ok(place)) = self.find(prefix.raw()) else { return };
-        self.len -= 1;
-        let chunk = Arc::make_mut(&mut self.chunks[at]);
-        chunk.keys.remove(place);
-        chunk.tails.remove(place);
-        let left = chunk.keys.len();
-        if left == 0 {
-            self.chunks.remove(at);
-        } else if left < FILL / 4 && at + 1 < self.chunks.len() && self.chunks[at + 1].keys.len() < FILL / 2 {
-            let next = self.chunks.remove(at + 1);
-            let chunk = Arc::make_mut(&mut self.chunks[at]);
-            chunk.keys.extend(&next.keys);
-            chunk.tails.extend(&next.tails);
-        }
-        self.mark(prefix, false);
-    }
-
-    /// Entries that a prefix covers bear its length, or do not.
-    fn mark(&mut self, prefix: Digits, covers: bool) {
-        let (from, to) = (prefix.raw(), prefix.last_below());
-        let bit = 1u32.unbounded_shl(prefix.len() as u32) as u16; // One of 16 signs covers nothing.
-        let (first, _) = self.find(from);
-        for chunk in &mut self.chunks[first..] {
-            if chunk.keys[0] > to {
-                break;
-            }
-            let begin = chunk.keys.partition_point(|key| *key <= from);
-            let end = chunk.keys.partition_point(|key| *key <= to);
-            if begin < end {
-                for tail in &mut Arc::make_mut(chunk).tails[begin..end] {
-                    tail.covered = if covers { tail.covered | bit } else { tail.covered & !bit };
-                }
-            }
-        }
-    }
-
-    /// Bytes that it holds, chunks shared with others included.
+    /// Bytes that it holds, parts shared with others included.
     pub fn bytes(&self) -> usize {
-        let chunk = |chunk: &Arc<Chunk>| {
-            // Two counts of the shared pointer, and the allocator's head of each piece.
-            size_of::<Chunk>()
-                + 16
-                + 3 * 16
-                + chunk.keys.capacity() * 8
-                + chunk.tails.capacity() * size_of::<Tail>()
-        };
-        let index: usize = self.index.iter().map(|keys| keys.capacity() * 8).sum();
-        size_of::<Self>() + index + self.chunks.capacity() * 8 + self.chunks.iter().map(chunk).sum::<usize>()
+        let mut all = size_of::<Self>();
+        self.root.parts(&mut |_, bytes| all += bytes);
+        all
     }
 
-    /// Chunks that another generation has too.
+    /// Parts that another generation has too, and all parts.
     pub fn shared_with(&self, other: &Self) -> (usize, usize) {
-        let there: std::collections::HashSet<_> = other.chunks.iter().map(Arc::as_ptr).collect();
-        let shared = self.chunks.iter().filter(|chunk| there.contains(&Arc::as_ptr(chunk))).count();
-        (shared, self.chunks.len())
+        let mut there = HashSet::new();
+        other.root.parts(&mut |at, _| {
+            there.insert(at);
+        });
+        let (mut shared, mut all) = (0, 0);
+        self.root.parts(&mut |at, _| {
+            all += 1;
+            shared += usize::from(there.contains(&at));
+        });
+        (shared, all)
     }
 }
 
-/// Lengths of the prefixes that cover this key, told from the entry before it.
-fn covering((before, covered): (u64, u16), key: u64) -> u16 {
-    let (before, key) = (Digits::from_raw(before), Digits::from_raw(key));
-    let common = before.common(key).min(key.len().saturating_sub(1));
-    let all = u32::from(covered) | 1u32 << before.len();
-    (all & ((2u32 << common) - 1)) as u16
-}
-
 /// The fewest prefixes that cover all numbers from one to another of the same length; none where the two do not
 /// make a range.
 pub fn range(from: Digits, to: Digits) -> Option<Vec<Digits>> {
