--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 //! exit code is 2 for bad usage or input, 1 for a broken rule or a failed check, 0 else.
 
 mod days;
+mod numbers;
 mod report;
 mod stores;
 
@@ -65,6 +66,11 @@
         what: stores::StoreCommand,
         folder: PathBuf,
     },
+    /// Tables by which dialled numbers are analysed.
+    Numbers {
+        #[command(subcommand)]
+        what: numbers::NumbersCommand,
+    },
     /// Days: a fleet, its load and its troubles.
     Day {
         #[command(subcommand)]
@@ -139,6 +145,7 @@
             Which::Callers => lotussaddle_standin::shell::callers(&sheet),
         },
         What::Store { what, folder } => stores::run(what, &folder),
+        What::Numbers { what } => numbers::run(what),
         What::Day { what } => days::run(what),
     }
 }
--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -31,7 +31,7 @@
     assert_eq!(played.status.code(), Some(0), "{}", said(&played));
     let verdict = std::fs::read_to_string(folder.path().join("out/verdict.json")).unwrap();
     let verdict: Verdict = serde_json::from_str(&verdict).unwrap();
-    assert_eq!(verdict.broken, [0; 5]);
+    assert_eq!(verdict.broken, [0; 6]);
     assert!(verdict.stood > 500 && verdict.excused > 0, "an edge proxy was killed at work: {verdict:?}");
 
     let judged = run(&["day", "judge", &out]);
@@ -55,6 +55,102 @@
     assert!(said(&judged).contains("a second final answer"));
 }
 
+/// Tables that change at midnight and by hand, look-ups that hang, are slow and lie, all over datagrams.
+#[test]
+fn a_day_of_dialled_numbers_over_sockets_keeps_the_rules() {
+    let folder = tempfile::tempdir().unwrap();
+    let out = path(folder.path(), "out");
+    let text = include_str!("../../day/days/new-year.kdl");
+    let (head, _) = text.split_once("troubles {").unwrap();
+    let troubles = r#"troubles {
+        swap { at "1s"; lasts "4s"; generation "by-hand"; after "500ms"; undo #true; }
+        look-ups { at "2s"; lasts "1s"; part 1.0; how "hang"; }
+        look-ups { at "3s"; lasts "2s"; part 0.5; how "slow"; share 0.7; by "200ms"; }
+        look-ups { at "3s"; lasts "3s"; part 1.0; how "lie"; share 0.3; }
+        kill { at "3s"; lasts "1500ms"; part 0.3; }
+    }"#;
+    let head = head.replace("lasts \"20s\"", "lasts \"7s\"").replace("rate 110.0", "rate 80.0");
+    let day = path(folder.path(), "day.kdl");
+    std::fs::write(&day, head + troubles).unwrap();
+    let played = run(&["day", "play", &day, "--out", &out]);
+    assert_eq!(played.status.code(), Some(0), "{}", said(&played));
+    let record = std::fs::read_to_string(folder.path().join("out/record.jsonl")).unwrap();
+    let count = |what: &str| record.lines().filter(|line| line.contains(what)).count();
+    let told = [count("\"datagram\""), count("\"routing\":\"+49"), count("\"frame\":\"tabled\"")];
+    assert!(told[0] > 100 && told[1] > 10 && told[2] >= 9, "{told:?}");
+    let judged = run(&["day", "judge", &out]);
+    assert_eq!(judged.status.code(), Some(0), "{}", said(&judged));
+    // A launch under another number is no launch by any table.
+    let doctored = record.replacen("\"number\":\"+4930", "\"number\":\"+4931", 1);
+    std::fs::write(folder.path().join("out/record.jsonl"), doctored).unwrap();
+    let judged = run(&["day", "judge", &out]);
+    assert!(judged.status.code() == Some(1) && said(&judged).contains("no generation in force leads there"));
+}
+
+/// What tables would do, and what is wrong with them, without an edge proxy.
+#[test]
+fn numbers_are_explained_step_by_step() {
+    let folder = tempfile::tempdir().unwrap();
+    let edge = path(folder.path(), "edge.kdl");
+    let tables = folder.path().display().to_string();
+    std::fs::write(
+        &edge,
+        format!(
+            r#"
+name "edge"
+listen "127.0.0.1:0"
+list "127.0.0.1:1"
+numbers {{ folder {tables:?}; start "base"; look-up {{ servers "127.0.0.1:1053"; }}; }}
+plan {{
+    proxies 1; release "300ms"; cold-share 0.4; warm-after "6s"; fall-multiple 2.5
+    product "voice" {{ promised "1s"; lasts "3s"; cut-off "9s"; }}
+    tenant "shop" {{ quota 10.0; }}
+    group "north" {{ cores 0 1; }}
+}}"#
+        ),
+    )
+    .unwrap();
+    let base = r#"
+plan "de" { country "49"; area "30"; trunk "0"; international "00"; emergency "112"; }
+schedule "office" { zone "Europe/Berlin"; open "mon-fri" "08:00" "18:00"; }
+way "north" { route "north"; first 1; }
+way "closed" { refuse "closed"; }
+way "office" { hours "office"; open "north"; closed "closed"; }
+way "moved" { ported; table "carriers"; else "office"; }
+table "main" { prefix "112" "north"; prefix "+49" "moved"; }
+table "carriers" { prefix "+4999" "north"; }
+tenant "*" { plan "de"; table "main"; }
+"#;
+    std::fs::write(folder.path().join("base.kdl"), base).unwrap();
+    std::fs::write(
+        folder.path().join("next.kdl"),
+        "of \"base\"\ntable \"main\" { put \"+4989\" \"closed\" }",
+    )
+    .unwrap();
+    let explain = |more: &[&str]| {
+        let arguments = [&["numbers", "explain", "089/123456", "--edge", &edge], more].concat();
+        let output = run(&arguments);
+        assert_eq!(output.status.code(), Some(0), "{}", said(&output));
+        said(&output)
+    };
+    let at = ["--at", "2026-12-01T09:00:00+01:00[Europe/Berlin]", "--tenant", "shop"];
+    insta::assert_snapshot!(explain(&at));
+    assert!(explain(&["--at", "2026-12-01T18:00:00+01:00[Europe/Berlin]"]).contains("refused: closed"));
+    assert!(explain(&[&at[..], &["--moved", "+49991"]].concat()).contains("routing number +49991"));
+    assert!(explain(&[&at[..], &["--generation", "next"]].concat()).contains("refused: closed"));
+    let check = |name: &str| run(&["numbers", "check", &edge, name]);
+    assert_eq!(said(&check("next")), "next: 4 prefixes, 4 ways, no mistake\n");
+    std::fs::write(folder.path().join("bad.kdl"), base.replace("route \"north\"", "route \"south\""))
+        .unwrap();
+    let bad = check("bad");
+    assert!(
+        bad.status.code() == Some(1) && said(&bad).contains("bad.kdl:4:15: trunk group south is not known"),
+        "{}",
+        said(&bad)
+    );
+    assert_eq!(check("../edge").status.code(), Some(1));
+}
+
 /// Hangs, stalls, refused connects, dead and trickling links, drains and resets.
 #[test]
 fn a_day_of_other_troubles_over_sockets_keeps_the_rules() {
--- a/crates/numbers/src/analysis.rs
+++ b/crates/numbers/src/analysis.rs
@@ -31,19 +31,25 @@
     pub routing: Option<Digits>,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Refusal {
     /// What was dialled is no number.
+    #[error("no number: {0}")]
     Undiallable(String),
     /// Nobody has said how this tenant's numbers are analysed.
+    #[error("nobody has said how this tenant's numbers are analysed")]
     NoTenant,
     /// No prefix takes the number.
+    #[error("no prefix takes the number")]
     NoWay,
     /// By a way that says so.
+    #[error("{0}")]
     Barred(String),
     /// Its look-up was not answered in time.
+    #[error("its look-up was not answered in time")]
     Unanswered,
     /// What it was rewritten to is no number.
+    #[error("what it was rewritten to is no number")]
     NoNumber,
 }
 
--- a/crates/numbers/src/draft.rs
+++ b/crates/numbers/src/draft.rs
@@ -183,13 +183,17 @@
     digits
 }
 
+/// An instant as people write it: with its offset, or with its zone.
+pub fn instant(text: &str) -> Option<Timestamp> {
+    text.parse::<Timestamp>()
+        .ok()
+        .or_else(|| text.parse::<jiff::ZonedDateTime>().ok().map(|zoned| zoned.timestamp()))
+}
+
 fn from_time(root: &Block) -> Option<Timestamp> {
     let node = root.maybe("from")?;
     let text = node.text(0)?;
-    let read = text
-        .parse::<Timestamp>()
-        .ok()
-        .or_else(|| text.parse::<jiff::ZonedDateTime>().ok().map(|z| z.timestamp()));
+    let read = instant(&text);
     if read.is_none() {
         node.wrong(
             "from wants a time such as \"2026-12-31T23:00:00Z\" or \"2027-01-01T00:00+01:00[Europe/Berlin]\"",
--- a/crates/numbers/src/lib.rs
+++ b/crates/numbers/src/lib.rs
@@ -20,7 +20,9 @@
 pub use check::LONGEST_CHAIN;
 pub use dial_plan::{DialPlan, Dialled, Extension, Form, Undiallable};
 pub use digits::{Digits, NoDigits};
-pub use draft::{Change, Draft, Group, Known, Lines, Loaded, TableDraft, TenantDraft, Way, WayId, no_lines};
+pub use draft::{
+    Change, Draft, Group, Known, Lines, Loaded, TableDraft, TenantDraft, Way, WayId, instant, no_lines,
+};
 pub use generations::{Generations, MOST_ALIVE, MOST_STAGED, NoSwap, Order, Swapped};
 pub use plain::Plain;
 pub use prefixes::{Prefixes, range};
--- a/crates/serve/src/loader.rs
+++ b/crates/serve/src/loader.rs
@@ -56,9 +56,19 @@
     }
 }
 
-/// Reads NAME.kdl of a folder and all that it names; an error has all mistakes.
+/// Changes of changes that are read one upon the other, at most.
+const DEEPEST: usize = 16;
+
+/// Reads NAME.kdl of a folder and all that it names; an error has all mistakes. What it changes is one of the bases, or
+/// is read first.
 pub fn read_generation(
     folder: &Path, name: &str, known: &Known, bases: &[Arc<Tables>],
+) -> Result<Arc<Tables>, String> {
+    read_upon(folder, name, known, bases, DEEPEST)
+}
+
+fn read_upon(
+    folder: &Path, name: &str, known: &Known, bases: &[Arc<Tables>], deep: usize,
 ) -> Result<Arc<Tables>, String> {
     // A name comes over the wire: it stays in the folder.
     let plain = |name: &str| {
@@ -70,6 +80,17 @@
         return Err(format!("{name:?} is no name of a generation"));
     }
     let sheet = Sheet::load(&folder.join(format!("{name}.kdl"))).map_err(|mistakes| mistakes.to_string())?;
+    let of = {
+        let root = sheet.root();
+        root.peek("of")
+    };
+    let mut bases = bases.to_vec();
+    if let Some(of) = of.filter(|of| !bases.iter().any(|tables| tables.name == *of)) {
+        if deep == 0 {
+            return Err(format!("{name}: over {DEEPEST} changes one upon the other"));
+        }
+        bases.push(read_upon(folder, &of, known, &bases, deep - 1)?);
+    }
     let base = |of: &str| bases.iter().find(|tables| tables.name == of).cloned();
     let lines = |file: &str| {
         if !plain(file) {
--- a/crates/sheet/src/lib.rs
+++ b/crates/sheet/src/lib.rs
@@ -180,6 +180,14 @@
         self.sheet.wrong(self.offset, what);
     }
 
+    /// A text, if it is there, without a word on anything else: the block is read later, or again.
+    pub fn peek(self, name: &str) -> Option<String> {
+        let node = self.nodes.iter().find(|node| node.name().value() == name);
+        let text = node.and_then(|node| node.get(0)).and_then(|value| value.as_string()).map(String::from);
+        self.asked.borrow_mut().extend(self.nodes.iter().map(|node| node.name().value().to_string()));
+        text
+    }
+
     /// The names that stand here, asked for or not.
     pub fn names(&self) -> Vec<(&'a str, Node<'a>)> {
         let sheet = self.sheet;
