--- a/crates/edge/src/held.rs
+++ b/crates/edge/src/held.rs
@@ -110,6 +110,9 @@
     },
 }
 
+/// The number to be dialled on, and where it has moved to.
+pub type Numbered = (Arc<str>, Option<Arc<str>>);
+
 pub struct Held {
     /// The caller's link.
     pub link: LinkId,
@@ -121,7 +124,7 @@
     pub width: f64,
     pub key: Option<DialledKey>,
     /// The number to be dialled on, and where it has moved to.
-    pub number: Option<Box<(Arc<str>, Option<Arc<str>>)>>,
+    pub number: Option<Box<Numbered>>,
     /// Optional fields of its dial, which its launches carry on.
     pub extra: Box<[Extra]>,
 }
--- a/crates/portability/src/breaker.rs
+++ b/crates/portability/src/breaker.rs
@@ -6,7 +6,7 @@
 use rand::{Rng, RngExt};
 
 /// Unanswered questions in a row after which a server is left alone.
-const STRIKES: u32 = 5;
+const STRIKES: u32 = 8;
 const FIRST_WAIT: Duration = Duration::from_millis(500);
 const LONGEST_WAIT: Duration = Duration::from_secs(30);
 
--- a/crates/portability/src/client.rs
+++ b/crates/portability/src/client.rs
@@ -24,7 +24,8 @@
     /// Under what the numbers stand.
     pub suffix: String,
     pub servers: usize,
-    /// An answer is waited for this long, twice as long after each repeat.
+    /// An answer is waited for this long at least, twice as long after each repeat; longer, up to a second, where a
+    /// server's answers take longer.
     pub first_wait: Duration,
     /// Times that a question is asked.
     pub tries: u32,
@@ -136,6 +137,7 @@
     number: Digits,
     tenant: u32,
     name: String,
+    sent_at: Duration,
     /// Else it was not answered in time.
     in_time: bool,
 }
@@ -147,8 +149,14 @@
     /// Ids of questions that were not answered in time.
     late: VecDeque<(Duration, u16)>,
     strange: u32,
+    /// How long its answers take, and how much they differ, in seconds. Each try has an id of its own, so that a late
+    /// answer tells its time too.
+    takes: Option<(f64, f64)>,
 }
 
+/// An answer is waited for no longer than this, before the wait grows with repeats.
+const LONGEST_WAIT: Duration = Duration::from_secs(1);
+
 impl Server {
     fn new(plan: &Plan) -> Self {
         Self {
@@ -157,9 +165,28 @@
             by_id: HashMap::new(),
             late: VecDeque::new(),
             strange: 0,
+            takes: None,
         }
     }
 
+    fn took(&mut self, time: Duration) {
+        let time = time.as_secs_f64();
+        self.takes = Some(match self.takes {
+            None => (time, time / 2.0),
+            Some((usual, differs)) => {
+                let off = (time - usual).abs();
+                (usual + (time - usual) / 8.0, differs + (off - differs) / 4.0)
+            }
+        });
+    }
+
+    /// How long an answer is waited for: the plan's wait at least, and longer where its answers take longer.
+    fn wait(&self, plan: &Plan) -> Duration {
+        let (usual, differs) = self.takes.unwrap_or_default();
+        Duration::from_secs_f64(usual + 4.0 * differs)
+            .clamp(plan.first_wait, LONGEST_WAIT.max(plan.first_wait))
+    }
+
     /// From now on an answer under this id is late.
     fn is_late(&mut self, now: Duration, id: u16) {
         if let Some(sent) = self.by_id.get_mut(&id) {
@@ -287,15 +314,18 @@
         let Some((id, sent)) = known.and_then(|(server, id)| Some((id, server.by_id.get(&id)?))) else {
             return self.guessed(now, server, outside);
         };
-        let (number, tenant, in_time) = (sent.number, sent.tenant, sent.in_time);
+        let (number, tenant, in_time, sent_at) = (sent.number, sent.tenant, sent.in_time, sent.sent_at);
         let question = Question { id, name: sent.name.clone() };
         // The id fits and the rest does not: it is no answer, and another may come.
         let Ok(reply) = Reply::read(bytes, &question, number) else {
             return self.guessed(now, server, outside);
         };
         self.servers[server].by_id.remove(&id);
+        self.servers[server].took(now.saturating_sub(sent_at));
         if !in_time {
             self.counts.late += 1;
+            // It lives; it will be waited for longer.
+            self.servers[server].breaker.answered();
             if let Said::Number(moved) = reply.said {
                 self.keep(now, tenant, number, moved, reply.ttl);
                 self.close_out(now, number, |limit, _| limit.dropped());
@@ -447,10 +477,10 @@
             self.conclude(number, &outcome);
             return true;
         };
-        let due = now + self.plan.first_wait * 2u32.pow(open.tried.min(6));
+        let due = now + server.wait(&self.plan) * 2u32.pow(open.tried.min(6));
         open.tried += 1;
         open.out = Some(Out { server: place, id, sent_at: now, due });
-        server.by_id.insert(id, Sent { number, tenant: open.tenant, name, in_time: true });
+        server.by_id.insert(id, Sent { number, tenant: open.tenant, name, sent_at: now, in_time: true });
         server.limit.sent();
         self.dues.insert((due, number));
         self.counts.sent += 1;
--- a/crates/serve/src/look_ups.rs
+++ b/crates/serve/src/look_ups.rs
@@ -12,10 +12,13 @@
 const QUEUE: usize = 4096;
 const STACK: usize = 64 * 1024;
 
+/// Of which server, and its datagram.
+pub type Reply = (usize, Vec<u8>);
+
 pub struct LookUps(Vec<Sender<Vec<u8>>>);
 
 impl LookUps {
-    pub fn open(servers: &[SocketAddr]) -> std::io::Result<(Self, Receiver<(usize, Vec<u8>)>)> {
+    pub fn open(servers: &[SocketAddr]) -> std::io::Result<(Self, Receiver<Reply>)> {
         let (heard, replies) = bounded(QUEUE);
         let mut senders = Vec::new();
         for (number, server) in servers.iter().enumerate() {
