Numbers: records doctored over generations, large tables swapped under load

Reason: that a dialogue's launches agree with the same generation, not each with some, was judged and never shown to be; and the structure's shrinking was seen by no test.

Change: doctored records of two generations and a swap: by the old, the new, one and then the other, half and half, over before the dial, never ordered. 20,000 prefixes changed twelve times beside a thread that analyses. Dropped prefixes take their parts along.

--- a/crates/judge/tests/doctored.rs
+++ b/crates/judge/tests/doctored.rs
@@ -442,3 +442,86 @@
     let cut = &text[..text.len() - 20];
     assert!(said(cut).starts_with(&format!("line {}", lines.len() + 1)), "{}", said(cut));
 }
+
+const TABLES: &str = r#"
+plan "de" { country "49"; area "30"; trunk "0"; }
+way "a" { route "a"; }
+way "b" { route "b"; product "dear"; }
+tenant "*" { plan "de"; table "main"; }
+"#;
+
+/// Two generations: one leads all to group a, the other to group b under another product. A launch each, and swaps in
+/// between.
+fn by_tables(swap_at: Option<u64>, launches: &[(u64, u64, u16)]) -> Vec<(Rule, String)> {
+    let generation = |way: &str| format!("{TABLES}table \"main\" {{ otherwise \"{way}\" }}");
+    let numbers = NumbersBrief {
+        wall: "2026-12-01T00:00:00Z".into(),
+        groups: vec![("a".into(), vec![0]), ("b".into(), vec![1])],
+        generations: vec![("one".into(), generation("a")), ("two".into(), generation("b"))],
+        suffix: "e164.arpa".into(),
+    };
+    let mut script = Script::new();
+    let mut second = entry("b", Listed::Active, 0);
+    second.number = ServerNumber(1);
+    script = script.list(1, false, vec![second]);
+    let mut lines: Vec<(u64, Box<dyn FnOnce(Script) -> Script>)> = vec![(
+        100,
+        Box::new(|script| script.dial_as(100, "d1", 0, |dial| dial.dialled = Some("089123456".into()))),
+    )];
+    if let Some(at) = swap_at {
+        lines.push((
+            at,
+            Box::new(move |script| {
+                let order = TablesOrder::Swap { name: "two".into(), after: Duration::ZERO };
+                let script = script.passed(at, LIST, Way::In, Frame::Tables { serial: 1, order });
+                let tabled = Frame::Tabled { serial: 1, in_force: 1, name: Some("two".into()), why: None };
+                script.passed(at, LIST, Way::Out, tabled)
+            }),
+        ));
+    }
+    for (no, (at, link, product)) in launches.iter().copied().enumerate() {
+        lines.push((
+            at,
+            Box::new(move |script| {
+                let launch = Launch {
+                    dialogue: id("d1"),
+                    launch: LaunchNo(no as u32),
+                    key: None,
+                    product,
+                    width: 1.0,
+                    time_left: Duration::from_millis(3000),
+                    number: Some("+4989123456".into()),
+                    routing: None,
+                };
+                let script = script.passed(at, link, Way::Out, Frame::Launch(launch));
+                script.broken_off(at + 10, link, "d1", no as u32)
+            }),
+        ));
+    }
+    lines.sort_by_key(|(at, _)| *at);
+    for (_, line) in lines {
+        script = line(script);
+    }
+    let script = script.failed(3000, "d1").note(20_000, What::Note { text: "end".into() });
+    let mut judge = Judge::new(Brief { numbers: Some(numbers), ..brief() });
+    script.0.iter().for_each(|line| judge.line(line));
+    judge.finish().breaks.into_iter().map(|found| (found.rule, found.what)).collect()
+}
+
+#[test]
+fn launches_agree_with_one_generation_and_the_same_all_along() {
+    // By the old one, by the new one once it may be in force, and by the old one still where it came before the swap.
+    assert_eq!(by_tables(None, &[(110, A, 0), (500, A, 0)]), []);
+    assert_eq!(by_tables(Some(50), &[(110, B, 1), (500, B, 1)]), []);
+    assert_eq!(by_tables(Some(200), &[(110, A, 0), (500, A, 0)]), []);
+    assert_eq!(by_tables(Some(105), &[(110, B, 1), (500, B, 1)]), []);
+    let no_generation = "089123456 dialled, launched at core server";
+    // The first by one and the second by the other.
+    only(&by_tables(Some(200), &[(110, A, 0), (500, B, 1)]), Rule::Tables, no_generation);
+    // Half of one and half of the other.
+    only(&by_tables(Some(105), &[(110, B, 0)]), Rule::Tables, no_generation);
+    only(&by_tables(Some(105), &[(110, A, 1)]), Rule::Tables, no_generation);
+    // By one that was over when it was dialled, and by one that nobody had ordered.
+    only(&by_tables(Some(50), &[(110, A, 0)]), Rule::Tables, no_generation);
+    only(&by_tables(None, &[(110, B, 1)]), Rule::Tables, no_generation);
+}
--- a/crates/numbers/tests/analysis.rs
+++ b/crates/numbers/tests/analysis.rs
@@ -541,3 +541,61 @@
         }
     }
 }
+
+/// Large tables are read, swapped in and let go by one thread while another analyses: each analysis sees one of them
+/// whole. The bench does it with a million prefixes, each second.
+#[test]
+fn large_tables_swapped_under_load_are_each_seen_whole() {
+    let first = tables(&whole("table \"main\" { prefix \"112\" \"rescue\"; prefix \"+49\" \"north\" }"));
+    let mut rng = Pcg64Mcg::seed_from_u64(11);
+    let many: Vec<Digits> = (0..20_000).map(|_| number(&mut rng)).collect();
+    // In each generation all of these lead the same way: north in even ones, south in odd ones.
+    let (staged, to_stage) = crossbeam_channel::bounded::<Arc<Tables>>(1);
+    let (let_go, gone) = crossbeam_channel::unbounded::<Vec<Arc<Tables>>>();
+    let (base, prefixes) = (first.clone(), many.clone());
+    let loader = std::thread::spawn(move || {
+        let mut before = base;
+        for round in 0..12u32 {
+            let way = WayId(round % 2);
+            let puts = prefixes.iter().map(|prefix| (0, *prefix, Some(way))).collect();
+            let of = before.name.clone();
+            let change = Change { name: format!("g{round}"), of, puts, ..Change::default() };
+            before = Arc::new(before.with(change));
+            staged.send(before.clone()).unwrap();
+            gone.try_iter().for_each(drop);
+        }
+    });
+    let mut generations = Generations::default();
+    generations.begin_with(first);
+    let (mut serial, mut seen) = (0, 0);
+    loop {
+        match to_stage.try_recv() {
+            Ok(next) => {
+                serial += 1;
+                let name = next.name.clone();
+                generations.stage(next);
+                let order = Order::Swap { name, at: Duration::ZERO };
+                assert!(matches!(generations.order(S, noon(), serial, order), Swapped::InForce(..)));
+                drop(let_go.send(generations.take_gone()));
+            }
+            Err(crossbeam_channel::TryRecvError::Disconnected) => break,
+            Err(crossbeam_channel::TryRecvError::Empty) => {}
+        }
+        let in_force = generations.in_force().unwrap().clone();
+        let south =
+            in_force.name.strip_prefix('g').and_then(|n| n.parse::<u32>().ok()).is_some_and(|n| n % 2 == 1);
+        for prefix in many.iter().skip(seen % 100).step_by(997) {
+            let dialled = format!("{prefix}11");
+            let step = Analysis::begin(in_force.clone(), None, &dialled, noon(), 1, false).1;
+            assert_eq!(group(&step), Some(u16::from(south)), "{dialled} in {}", in_force.name);
+            seen += 1;
+        }
+    }
+    loader.join().unwrap();
+    assert!(serial == 12 && seen > 100, "{serial} swaps, {seen} analyses");
+}
+
+fn number(rng: &mut Pcg64Mcg) -> Digits {
+    let digits = (0..7).map(|_| char::from_digit(rng.random_range(0..10), 10).unwrap());
+    Digits::parse("+49").unwrap().join(digits).unwrap()
+}
--- a/crates/numbers/tests/prefixes.rs
+++ b/crates/numbers/tests/prefixes.rs
@@ -99,6 +99,14 @@
         }
     }
     assert_eq!(now.len(), map.len());
+    // What is dropped takes its parts along.
+    let few = now.with(map.keys().skip(5).map(|prefix| (*prefix, None)));
+    assert!(
+        few.len() == 5 && few.bytes() < 1000 && now.bytes() > 100_000,
+        "{} bytes for {}",
+        few.bytes(),
+        few.len()
+    );
     // One prefix more: all parts but those on the way to it are the same ones, be it long or short.
     for prefix in [draw(11), digits("+4")] {
         let one_more = now.with([(prefix, Some(1))]);
