--- a/crates/judge/tests/doctored.rs
+++ b/crates/judge/tests/doctored.rs
@@ -464,7 +464,8 @@
     let mut second = entry("b", Listed::Active, 0);
     second.number = ServerNumber(1);
     script = script.list(1, false, vec![second]);
-    let mut lines: Vec<(u64, Box<dyn FnOnce(Script) -> Script>)> = vec![(
+    type Put = Box<dyn FnOnce(Script) -> Script>;
+    let mut lines: Vec<(u64, Put)> = vec![(
         100,
         Box::new(|script| script.dial_as(100, "d1", 0, |dial| dial.dialled = Some("089123456".into()))),
     )];
