After a start nothing is launched for a release time; doubt is judged over a kill

Reason: an edge proxy that is killed and back at once launched dialogues whose former launch a core server might still be at work on; the judge forgot at a kill what had been launched.

The judge carries launches that were out or in doubt over a kill.

--- a/crates/day/src/virt.rs
+++ b/crates/day/src/virt.rs
@@ -215,6 +215,8 @@
     pub limits: Limits,
     /// Edge proxies remember over a kill what they have answered.
     pub remembers: bool,
+    /// They launch nothing for a release time after each start.
+    pub rests: bool,
     /// What becomes of each message that leaves an edge proxy: to show that what is broken is caught.
     pub tamper: Option<fn(&Message) -> Vec<Message>>,
 }
@@ -224,6 +226,7 @@
         Self {
             limits: Limits { record_within: RECORD_WITHIN, ..Limits::default() },
             remembers: true,
+            rests: true,
             tamper: None,
         }
     }
@@ -319,6 +322,9 @@
         seat.edge =
             Some(Edge::with(&name, "list", self.day.plan.plan(), limits, |plan| decisions(plan, seed)));
         self.nets.lives[edge] = seat.life;
+        if self.play.rests {
+            seat.edge.as_mut().expect("it was made").rest_until(self.day.plan.release);
+        }
         if let Some(numbers) = &self.day.numbers {
             let wall = numbers.wall.checked_add(self.now).unwrap_or(numbers.wall);
             let look_ups = (numbers.client.clone(), seed.rotate_left(17));
--- a/crates/day/tests/virtual_days.rs
+++ b/crates/day/tests/virtual_days.rs
@@ -310,3 +310,30 @@
         assert!(said.lines().any(|line| line.starts_with(wanted)), "{wanted} in\n{said}");
     }
 }
+
+/// Edge proxies that are killed and back at once, again and again; callers dial the same dialogues there anew. The long
+/// release time is over long after that.
+fn killed_often(seed: u64) -> Day {
+    let mut day = short(seed, 8);
+    day.plan.release = MS * 900;
+    day.callers.repeats = 1.0;
+    for n in 0..6u32 {
+        let at = MS * (800 + n * 1100);
+        day.troubles.push(Trouble { at, lasts: MS * 50, kind: Kind::Kill { part: 0.7 } });
+    }
+    day
+}
+
+#[test]
+fn a_restart_at_once_launches_nothing_that_may_be_out_yet() {
+    for seed in 0..10 {
+        kept(&format!("seed {seed}"), &virt::play(&killed_often(seed)).unwrap().verdict);
+    }
+    // Without a rest the judge sees launches of a former life followed too soon.
+    let restless = Play { rests: false, ..Play::default() };
+    let broken = (0..10).filter(|seed| {
+        let played = virt::play_with(&killed_often(*seed), &restless, Brain::new).unwrap();
+        rules_broken(&played.verdict).contains(&Rule::Release)
+    });
+    assert!(broken.count() >= 8);
+}
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -15,6 +15,7 @@
 use crate::held::{At, Concluded, Counts, Dues, Held, Limits, Pending};
 use crate::links::{Far, Kind, Link};
 use crate::numbers::{Analysed, Numbers};
+use crate::rest::{After, rest};
 use crate::{Decisions, LinkId, Note, Wires};
 
 /// How often links are looked at for silence.
@@ -32,6 +33,9 @@
     brain: D,
     state: State,
     numbers: Option<Box<Numbers>>,
+    /// Nothing is launched before; dialogues that wait for that, by when they are taken up, and how.
+    rests_until: Duration,
+    resting: BTreeMap<(Duration, DialogueId), (After, Dial, Arrival)>,
     /// When links are looked at again, and when the list is tried again.
     sweep_at: Duration,
     list_at: Option<Duration>,
@@ -73,6 +77,8 @@
             brain: decisions(plan),
             state,
             numbers: None,
+            rests_until: Duration::ZERO,
+            resting: BTreeMap::new(),
             sweep_at: Duration::ZERO,
             list_at: Some(Duration::ZERO),
         }
@@ -84,6 +90,11 @@
         self.numbers = Some(Box::new(numbers));
     }
 
+    /// A former life may have left launches at core servers: until then nothing is launched.
+    pub fn rest_until(&mut self, until: Duration) {
+        self.rests_until = until;
+    }
+
     pub fn numbers(&mut self) -> Option<&mut Numbers> {
         self.numbers.as_deref_mut()
     }
@@ -100,8 +111,9 @@
     /// When `alarm` is to be called next.
     pub fn next_due(&self) -> Duration {
         let numbers = self.numbers.as_ref().and_then(|numbers| numbers.next_due());
-        let dues =
-            [self.state.alarm, self.state.dues.first(), self.list_at, self.state.pending.first(), numbers];
+        let resting = self.resting.first_key_value().map(|((due, _), _)| *due);
+        let pending = self.state.pending.first();
+        let dues = [self.state.alarm, self.state.dues.first(), self.list_at, pending, numbers, resting];
         dues.into_iter().flatten().fold(self.sweep_at, Duration::min)
     }
 
@@ -160,6 +172,7 @@
         self.state.now = now;
         // After a stall, what timed out meanwhile has timed out, though its answer lies in the queue.
         self.time_outs(wires);
+        self.rested(wires);
         self.numbers_due(wires);
         let Some(known) = self.state.links.get_mut(&link) else { return };
         (known.heard, known.asked) = (now, false);
@@ -195,6 +208,7 @@
     pub fn alarm(&mut self, now: Duration, wires: &mut dyn Wires) {
         self.state.now = now;
         self.time_outs(wires);
+        self.rested(wires);
         self.numbers_due(wires);
         while let Some(unsaid) = self.state.pending.overdue(now) {
             self.state.counts.unrecorded += 1;
@@ -339,8 +353,22 @@
             came_back: dial.came_back,
             key: dial.key.clone(),
         };
+        if now < self.rests_until {
+            self.state.counts.rested += 1;
+            if let Some(held) = self.state.held.get_mut(&arrival.id) {
+                held.at = At::Asking;
+            }
+            let (due, after) = rest(self.rests_until, now, arrival.cut_off);
+            self.resting.insert((due, arrival.id.clone()), (after, dial, arrival));
+            return;
+        }
+        self.take_up(&dial, arrival, wires);
+    }
+
+    /// A dialogue goes on to its analysis, or to the module.
+    fn take_up(&mut self, dial: &Dial, arrival: Arrival, wires: &mut dyn Wires) {
         if self.numbers.is_some() && dial.dialled.is_some() {
-            return self.analyse(&dial, arrival, wires);
+            return self.analyse(dial, arrival, wires);
         }
         let mut hands = Hands { state: &mut self.state, wires };
         self.brain.arrived(hands.state.now, arrival, &mut hands);
@@ -742,6 +770,7 @@
             numbers.replied(now, server, datagram, wires);
         }
         self.time_outs(wires);
+        self.rested(wires);
         self.numbers_due(wires);
         self.settle(wires);
     }
@@ -789,6 +818,27 @@
         }
     }
 
+    /// Dialogues that rested long enough.
+    fn rested(&mut self, wires: &mut dyn Wires) {
+        let now = self.state.now;
+        while let Some(entry) = self.resting.first_entry().filter(|entry| entry.key().0 <= now) {
+            let (after, dial, arrival) = entry.remove();
+            // It may have hung up meanwhile.
+            let Some(held) = self.state.held.get_mut(&arrival.id).filter(|held| held.at == At::Asking) else {
+                continue;
+            };
+            held.at = At::Waiting;
+            match after {
+                After::Bring => self.take_up(&dial, arrival, wires),
+                After::LetGo => {
+                    let mut hands = self.hands(wires);
+                    hands.refuse(&arrival.id, None);
+                }
+            }
+            self.hand_over_ends(wires);
+        }
+    }
+
     /// What is due of tables and look-ups, and what came of look-ups meanwhile.
     fn numbers_due(&mut self, wires: &mut dyn Wires) {
         let Some(numbers) = &mut self.numbers else { return };
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -10,6 +10,7 @@
 mod held;
 mod links;
 mod numbers;
+mod rest;
 
 pub use decisions::Decisions;
 pub use edge::Edge;
--- a/crates/judge/src/rules.rs
+++ b/crates/judge/src/rules.rs
@@ -103,6 +103,8 @@
     stalls: Vec<(Duration, Option<Duration>)>,
     /// Answered in a former life of this proxy, and where.
     answered_before: HashMap<DialogueId, Mark>,
+    /// Not answered in a former life, and launched: when that launch was in doubt, at the kill or before.
+    doubted_before: HashMap<DialogueId, Mark>,
 }
 
 /// A core server since it last started.
@@ -172,6 +174,12 @@
                 let mut before = std::mem::take(self.proxy(*edge));
                 let answered = before.dialogues.iter().filter_map(|(id, d)| Some((id.clone(), d.answer?.1)));
                 before.answered_before.extend(answered);
+                let now = self.now;
+                let open = before.dialogues.iter().filter(|(_, d)| d.answer.is_none());
+                let doubted = open
+                    .filter_map(|(id, d)| Some((id.clone(), if d.out.is_some() { now } else { d.doubt? })));
+                before.doubted_before.extend(doubted);
+                self.proxy(*edge).doubted_before = std::mem::take(&mut before.doubted_before);
                 self.proxy(*edge).answered_before = std::mem::take(&mut before.answered_before);
                 let owed = before.dialogues.values().filter(|d| d.answer.is_none() && d.hung_up.is_none());
                 self.counts.excused += owed.count() as u64;
@@ -258,7 +266,7 @@
                     answer: None,
                     hung_up: None,
                     out: None,
-                    doubt: None,
+                    doubt: proxy.doubted_before.get(&dial.dialogue).copied(),
                     stands: None,
                     over: false,
                     missed: false,
--- a/crates/serve/src/run.rs
+++ b/crates/serve/src/run.rs
@@ -90,6 +90,8 @@
         sheet.seed.unwrap_or_else(|| std::hash::BuildHasher::hash_one(&std::hash::RandomState::new(), 0));
     let decisions = |plan| decisions(plan, seed);
     let mut edge = Edge::with(&sheet.name, &sheet.list, sheet.plan.plan(), sheet.limits.clone(), decisions);
+    // Whether there was a former life is not known; that a launch of it may be out yet, is.
+    edge.rest_until(sheet.plan.release);
     let log = Log::begin(sheet.name.clone()).context("no thread for the log")?;
     let mut wires = Sockets { hub, log, records: None, loader: None, look_ups: None };
     let (mut read, mut replies) = (crossbeam_channel::never(), crossbeam_channel::never());
