--- a/src/brain.rs
+++ b/src/brain.rs
@@ -49,6 +49,13 @@
 const RECKONING: f64 = 0.5;
 const SURGE: f64 = 1.25;
 
+/// So many callers let go are remembered; beyond it the one that may dial again the shortest is forgotten.
+const MOST_CALLERS: usize = 200_000;
+/// No server has more lines or takes more set-ups than this: a figure beyond it is not believed.
+const MOST_TOLD: f64 = 1e7;
+/// No time of a plan is longer.
+const LONGEST: Duration = Duration::from_secs(366 * 86_400);
+
 /// The figures that decisions use, made from the route plan at start.
 struct Figures {
     products: Vec<Product>,
@@ -190,8 +197,14 @@
 ];
 
 impl Brain {
-    pub fn new(plan: RoutePlan, seed: u64) -> Self {
-        let tightest = plan.products.iter().map(|p| p.promised).min().unwrap_or(Duration::MAX);
+    pub fn new(mut plan: RoutePlan, seed: u64) -> Self {
+        plan.release = plan.release.min(LONGEST);
+        for product in &mut plan.products {
+            product.promised = product.promised.min(LONGEST);
+            product.patience = product.patience.min(LONGEST);
+            product.servers.iter_mut().for_each(|servers| servers.sort_unstable()); // found by halves
+        }
+        let tightest = plan.products.iter().map(|p| p.promised).min().unwrap_or(LONGEST);
         let resend = if plan.resend.is_zero() { Duration::MAX } else { plan.resend };
         // Gains are measured by the least, as the lots are.
         let least = plan.products.iter().map(|p| p.gain).fold(f64::INFINITY, f64::min);
@@ -203,11 +216,7 @@
             lasts,
             surge: if plan.resend.is_zero() { f64::INFINITY } else { SURGE },
             over_quota_share: plan.over_quota_share,
-            products: plan
-                .products
-                .into_iter()
-                .map(|p| Product { gain: p.gain / least, ..p.sorted() })
-                .collect(),
+            products: plan.products.into_iter().map(|p| Product { gain: p.gain / least, ..p }).collect(),
             tick: plan.tick,
             release: plan.release,
             proxies: f64::from(plan.proxies),
@@ -238,10 +247,16 @@
         }
     }
 
+    /// What is held: dialogues that are owed an answer, servers (gone ones included), launches out, callers.
+    pub fn sizes(&self) -> (usize, usize, usize, usize) {
+        let out = self.servers.values().map(|s| s.out.len()).sum();
+        (self.dialogues.len(), self.servers.len(), out, self.callers.len())
+    }
+
     // Inputs
 
     pub fn listed(&mut self, now: Duration, whole: bool, entries: &[ListEntry], out: &mut dyn Signalling) {
-        self.turn_to(now);
+        let now = self.turn_to(now);
         if whole {
             self.servers.values_mut().for_each(|s| s.listed = Listed::Gone);
         }
@@ -267,27 +282,34 @@
             server.opens_at = now + gap.mul_f64(server.pcg.share());
             self.servers.insert(entry.server.clone(), server);
         }
-        // One that is gone is kept until another takes its number: what it bore tells of the next.
+        // One that is gone is kept until another takes its number: what it bore tells of the next, until it faded.
+        let faded = Duration::from_secs_f64(BORNE_SPAN);
         let active = self.servers.values().filter(|s| s.listed == Listed::Active);
         let active: BTreeSet<ServerNumber> = active.map(|s| s.number).collect();
-        self.servers
-            .retain(|_, s| s.listed != Listed::Gone || !s.out.is_empty() || !active.contains(&s.number));
+        self.servers.retain(|_, s| {
+            let tells = !active.contains(&s.number) && now < s.last_sign + faded;
+            s.listed != Listed::Gone || !s.out.is_empty() || tells
+        });
         self.settle(out);
     }
 
     pub fn arrived(&mut self, now: Duration, arrival: Arrival, out: &mut dyn Signalling) {
-        if now > self.now {
-            self.turn_to(now);
+        let now = if now > self.now { self.turn_to(now) } else { self.now };
+        let Some(product) = self.figures.products.get(arrival.product.0) else {
+            return out.fail(&arrival.id);
+        };
+        if self.dialogues.contains_key(&arrival.id) {
+            return; // It is in already, and will have its answer.
         }
+        let (promised, late_share, plain) = (product.promised, product.late_share, product.gain);
         let part = if self.beyond_quota(arrival.tenant) { self.figures.over_quota_share } else { 1.0 };
         // A further try is measured from the first one: past the promised time little of its gain is left.
         let may_be_again = arrival.again || !self.figures.marks_again;
         let before = arrival.key.as_ref().filter(|_| may_be_again).and_then(|key| self.forget_caller(key));
-        let product = &self.figures.products[arrival.product.0];
-        let first_dialled = before.map_or(arrival.dialled_at, |(first, _)| first);
+        let first_dialled = before.map_or(arrival.dialled_at.min(now), |(first, _)| first);
         let unknown = arrival.again && !arrival.came_back && before.is_none();
-        let late = unknown || now >= first_dialled + product.promised;
-        let gain = product.gain * part * if late { product.late_share } else { 1.0 };
+        let late = unknown || now >= first_dialled + promised;
+        let gain = plain * part * if late { late_share } else { 1.0 };
         let lot = self.pcg.share() / gain;
         let dialogue = Dialogue {
             product: arrival.product,
@@ -295,7 +317,7 @@
             first_dialled,
             first_choice: arrival.first_choice,
             width: arrival.width,
-            promised: product.promised + if late { now } else { first_dialled },
+            promised: promised + if late { now } else { first_dialled },
             answer_by: arrival.cut_off.saturating_sub(self.figures.tick * 2),
             gain,
             lot,
@@ -320,7 +342,7 @@
     }
 
     pub fn reported(&mut self, now: Duration, id: &ServerId, report: &LoadReport, out: &mut dyn Signalling) {
-        self.turn_to(now);
+        let now = self.turn_to(now);
         if let Some(server) = self.servers.get_mut(id) {
             server.read(now, report);
         }
@@ -331,7 +353,7 @@
         &mut self, now: Duration, id: &DialogueId, launch: LaunchNo, server: &ServerId,
         out: &mut dyn Signalling,
     ) {
-        self.turn_to(now);
+        let now = self.turn_to(now);
         self.take(id);
         if let Some(server) = self.servers.get_mut(server)
             && let Some(at) = server.answered(now, id, launch, out)
@@ -344,7 +366,7 @@
     /// A launch has ended without standing, or a standing dialogue has ended.
     pub fn ended(&mut self, now: Duration, end: LaunchEnd, out: &mut dyn Signalling) {
         use Outcome::{Ended, LinesTaken, NumberBusy, TurnedBack};
-        self.turn_to(now);
+        let now = self.turn_to(now);
         if let Some(server) = self.servers.get_mut(&end.server) {
             server.read(now, &end.report);
             if matches!(end.outcome, Ended | LinesTaken | TurnedBack | NumberBusy) {
@@ -406,8 +428,10 @@
         self.settle(out);
     }
 
-    fn turn_to(&mut self, now: Duration) {
+    /// A clock that runs back is taken to stand.
+    fn turn_to(&mut self, now: Duration) -> Duration {
         self.look = true;
+        let now = self.now.max(now);
         self.now = now;
         while let Some((until, key)) = self.by_until.first().cloned()
             && until <= now
@@ -420,6 +444,7 @@
             let (_, id) = self.room.barred.pop_first().expect("it is there");
             self.make_ready(&id);
         }
+        now
     }
 
     /// After an arrival at a moment already looked at, only the launching rule can fire.
@@ -530,27 +555,13 @@
     }
 
     /// The dialogue that would be launched first, had only this server room.
-    fn best_for<'a>(&'a self, server: &Server) -> Option<&'a Rank> {
-        let takes = server.takes(self.now);
-        let first = |(product, ranked): (_, &'a Ranked<Rank>)| {
-            ranked.first(&takes).filter(|_| self.is_able(server, product))
-        };
-        if server.takes_overflow(self.now) {
-            return self
-                .room
-                .ready
-                .iter()
-                .map(|(product, ranked)| (*product, ranked))
-                .filter_map(first)
-                .min();
-        }
+    fn best_for(&self, server: &Server) -> Option<&Rank> {
+        let (takes, overflow) = (server.takes(self.now), server.takes_overflow(self.now));
+        let all = self.room.ready.iter().filter(|_| overflow).map(|(product, ranked)| (*product, ranked));
         let own = (server.number, ProductId(0))..=(server.number, ProductId(usize::MAX));
-        self.room
-            .by_choice
-            .range(own)
-            .map(|((_, product), ranked)| (*product, ranked))
-            .filter_map(first)
-            .min()
+        let own = self.room.by_choice.range(own).map(|((_, product), ranked)| (*product, ranked));
+        let able = all.chain(own).filter(|(product, _)| self.is_able(server, *product));
+        able.filter_map(|(_, ranked)| ranked.first(&takes)).min()
     }
 
     /// The quickest answer to be expected.
@@ -635,6 +646,11 @@
             self.forget_caller(&key);
             self.by_until.insert((until, key.clone()));
             self.callers.insert(key, (dialogue.first_dialled, until));
+            if self.callers.len() > MOST_CALLERS
+                && let Some((_, key)) = self.by_until.pop_first()
+            {
+                self.callers.remove(&key);
+            }
         }
     }
 }
@@ -724,11 +740,13 @@
     }
 
     fn read(&mut self, now: Duration, report: &LoadReport) {
-        if let Some(free) = report.free_lines {
+        let sane = |figure: Option<f64>| figure.filter(|f| (0.0..=MOST_TOLD).contains(f));
+        let (free, all) = (sane(report.free_lines), sane(report.lines));
+        if let Some(free) = free {
             (self.told_free, self.placed_since) = (Some(free), 0.0);
         }
         // A queue lasts as long as it takes at the told rate, else at the rate that the lines in use tell.
-        let in_use = report.lines.zip(report.free_lines).filter(|_| self.figures.lasts > 0.0);
+        let in_use = all.zip(free).filter(|_| self.figures.lasts > 0.0);
         let placed = in_use.map(|(all, free)| (all - free) / self.figures.lasts);
         let since = (now - self.reckoned_at).as_secs_f64();
         if let Some(placed) = placed.filter(|_| since >= RECKONING && self.cold_level(now).is_none()) {
@@ -740,8 +758,8 @@
             self.borne = (self.borne * (-since / BORNE_SPAN).exp()).max(placed);
             (self.reckoned_at, self.placed) = (now, placed);
         }
-        let rate = report.rate.or(placed).filter(|rate| *rate > 0.0);
-        let queue = report.queue.zip(rate).map(|(queue, rate)| queue / rate);
+        let rate = sane(report.rate).or(placed).filter(|rate| *rate > 0.0);
+        let queue = sane(report.queue).zip(rate).map(|(queue, rate)| queue / rate);
         if let Some(wait) = report.wait.map(|wait| wait.as_secs_f64()).or(queue) {
             self.seen(now, Duration::from_secs_f64(wait.min(60.0)));
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -76,14 +76,6 @@
     pub servers: Option<Vec<ServerNumber>>,
 }
 
-impl Product {
-    /// With its servers in order, so that one is found by halves.
-    pub fn sorted(mut self) -> Self {
-        self.servers.iter_mut().for_each(|servers| servers.sort_unstable());
-        self
-    }
-}
-
 pub struct Tenant {
     /// Dialogues a second, over all edge proxies, that carry their full gain.
     pub quota: f64,
