One dialogue at each stage of setup and all that befalls it: three faults mended

At fault: Hands::conclude, which left the launch to hung_up alone. It ends every launch that is out now. - A launch queued for a link being made was sent when the link came up, 1 s after the list had said that the server drains (rule 3). At fault: Edge::listed. It is out of reach now, and the module decides again. - An id dialled again on the link where it was hung up and not yet over was neither taken nor declined. - The stand-in kept a line for a set-up that it had broken off itself. Ruled out: the module, whose own runs (tests/rules.rs) leave nothing behind without cancel.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -113,6 +113,17 @@
         (self.state.held.len(), self.state.links.len(), self.state.concluded.len())
     }
 
+    pub fn decisions(&self) -> &D {
+        &self.brain
+    }
+
+    /// What is kept of dialogues beside what is held: on links, in their queues, and answers not yet given.
+    pub fn traces(&self) -> usize {
+        let here: usize = self.state.links.values().map(|link| link.here.len()).sum();
+        let queued: usize = self.state.servers.values().map(|far| far.queued.len()).sum();
+        here + queued + self.state.pending.len() + self.state.ends.len()
+    }
+
     /// When `alarm` is to be called next.
     pub fn next_due(&self) -> Duration {
         let numbers = self.numbers.as_ref().and_then(|numbers| numbers.next_due());
@@ -298,13 +309,16 @@
     ) {
         let id = dial.dialogue.clone();
         let why = if let Some(held) = self.state.held.get(&id) {
-            if held.link == link {
+            if matches!(held.at, At::Releasing { .. }) {
+                Some(NotTaken::Concluded)
+            } else if held.link == link {
                 self.state.counts.repeats += 1; // It is in already, and will have its answer.
                 return;
-            }
-            match self.take_over(&id, link) {
-                None => return,
-                why => why,
+            } else {
+                match self.take_over(&id, link) {
+                    None => return,
+                    why => why,
+                }
             }
         } else if self.state.concluded.contains(&id) {
             Some(NotTaken::Concluded)
@@ -434,13 +448,6 @@
                 self.state.counts.left += 1;
                 let mut hands = Hands { state: &mut self.state, wires };
                 self.brain.left(now, id, &mut hands);
-                // The module calls off what is out; where it may not, the launch is let run into the void.
-                if let Some(At::Out { server, launch, .. }) =
-                    hands.state.held.get(id).map(|held| held.at.clone())
-                {
-                    hands.call_off(id, launch);
-                    hands.end(id, launch, &server, Outcome::CalledOff);
-                }
                 hands.conclude(id);
             }
         }
@@ -655,6 +662,14 @@
         }
         let mut hands = Hands { state: &mut self.state, wires };
         self.brain.listed(now, whole, &told, &mut hands);
+        // What waits for the link of a server that drains is not sent there when the link is up.
+        let leaving = self.state.servers.iter_mut().filter(|(_, far)| far.listed != Listed::Active);
+        let stranded: Vec<_> = leaving
+            .flat_map(|(id, far)| std::mem::take(&mut far.queued).into_iter().map(|d| (d, id.clone())))
+            .collect();
+        for (dialogue, server) in stranded {
+            self.unreached(&dialogue, &server, wires);
+        }
         let gone = self.state.servers.iter().filter(|(_, far)| far.listed == Listed::Gone);
         let gone: Vec<ServerId> = gone.map(|(id, _)| id.clone()).collect();
         renewed.extend(gone.iter().filter_map(|id| self.state.servers.get(id)?.link));
--- a/crates/edge/src/hands.rs
+++ b/crates/edge/src/hands.rs
@@ -79,8 +79,14 @@
         Some(held)
     }
 
-    /// Its caller's link, and when that gives up.
+    /// Its caller's link, and when that gives up. Where the module may call nothing off, a launch may still be out:
+    /// it ends here, or its line stayed busy and the module counted it for ever.
     pub fn conclude(&mut self, id: &DialogueId) -> Option<(LinkId, Duration)> {
+        if let At::Out { launch, .. } = self.state.held.get(id)?.at
+            && let Some(server) = self.call_off(id, launch)
+        {
+            self.end(id, launch, &server, Outcome::CalledOff);
+        }
         let held = self.drop_held(id)?;
         self.state.concluded.add(self.state.now, id, &self.state.limits);
         Some((held.link, held.cut_off))
--- a/crates/edge/src/held.rs
+++ b/crates/edge/src/held.rs
@@ -204,6 +204,10 @@
         self.take(number)
     }
 
+    pub fn len(&self) -> usize {
+        self.by_number.len()
+    }
+
     /// When the first of them has waited long enough.
     pub fn first(&self) -> Option<Duration> {
         self.dues.first().map(|(by, _)| *by)
--- a/crates/standin/src/core.rs
+++ b/crates/standin/src/core.rs
@@ -496,6 +496,10 @@
         }
         if self.strain.lost > 0.0 && self.rng.random::<f64>() < self.strain.lost {
             if let (Frame::Stood { dialogue, launch, report }, true) = (frame, self.strain.lost_by_reset) {
+                // A set-up that is broken off holds no line: nobody will release it.
+                if let Some(call) = self.calls.remove(&(link, dialogue.clone(), launch)) {
+                    self.used -= call.width;
+                }
                 floor.say(link, Frame::BrokenOff { dialogue, launch, report }.into());
             }
             return;
