Rest after a start is the module's; a cold start is no longer inferred from cuts; idle parts go

Seen: while an edge proxy rested, crates/edge/src/rest.rs held, brought or refused dialogues beside the module, with a margin of its own (40 ms), and kept one that could not be served until shortly before its cut-off (refused after 160 ms in a_proxy_that_rests; now at the next alarm, 5 ms). Ruled out as a second chooser: number analysis (input only) and Edge's declines (bounds). Now Brain::rest_until bars every arrival as it does after doubt, the waiting room does the rest, and look-ups are made meanwhile; rest.rs, a stage, a map and a count are gone. Rule 5 over kills: a_restart_at_once_launches_nothing_that_may_be_out_yet still falls without the rest.

Removed after being switched off: a cold start inferred from cuts in a run. Also probe and tell, answered with nothing everywhere, and the wrapper over of stood_until_now.

--- a/crates/day/src/baseline.rs
+++ b/crates/day/src/baseline.rs
@@ -38,6 +38,7 @@
             by_time: BTreeSet::new(),
             turn: 0,
             alarm_set: false,
+            rests_until: Duration::ZERO,
         }
     }
 }
@@ -66,6 +67,7 @@
     by_time: BTreeSet<(Duration, DialogueId)>,
     turn: usize,
     alarm_set: bool,
+    rests_until: Duration,
 }
 
 impl Plain {
@@ -147,6 +149,10 @@
 }
 
 impl Decisions for Plain {
+    fn rest_until(&mut self, until: Duration) {
+        self.rests_until = until;
+    }
+
     fn listed(&mut self, now: Duration, whole: bool, entries: &[ListEntry], out: &mut dyn Signalling) {
         if whole {
             self.servers.values_mut().for_each(|s| s.active = false);
@@ -162,15 +168,17 @@
     }
 
     fn arrived(&mut self, now: Duration, arrival: Arrival, out: &mut dyn Signalling) {
+        let answer_by = arrival.cut_off.saturating_sub(self.plan.tick * 2);
+        let due = now.max(self.rests_until).min(answer_by.max(now));
         let asked = Asked {
             product: arrival.product,
             first_choice: arrival.first_choice,
-            answer_by: arrival.cut_off.saturating_sub(self.plan.tick * 2),
+            answer_by,
             launches: 0,
             at: None,
-            due: now,
+            due,
         };
-        self.by_time.insert((now, arrival.id.clone()));
+        self.by_time.insert((due, arrival.id.clone()));
         self.asked.insert(arrival.id, asked);
         self.settle(now, out);
     }
--- a/crates/day/tests/virtual_days.rs
+++ b/crates/day/tests/virtual_days.rs
@@ -176,6 +176,9 @@
 
     struct Deaf(Brain);
     impl Decisions for Deaf {
+        fn rest_until(&mut self, until: Duration) {
+            self.0.rest_until(until);
+        }
         fn listed(
             &mut self, now: Duration, whole: bool, entries: &[lotussaddle::interface::ListEntry],
             out: &mut dyn lotussaddle::interface::Signalling,
--- a/crates/edge/src/decisions.rs
+++ b/crates/edge/src/decisions.rs
@@ -7,6 +7,8 @@
 use lotussaddle::interface::*;
 
 pub trait Decisions {
+    /// Nothing is launched before.
+    fn rest_until(&mut self, until: Duration);
     fn listed(&mut self, now: Duration, whole: bool, entries: &[ListEntry], out: &mut dyn Signalling);
     fn arrived(&mut self, now: Duration, arrival: Arrival, out: &mut dyn Signalling);
     fn left(&mut self, now: Duration, id: &DialogueId, out: &mut dyn Signalling);
@@ -20,6 +22,9 @@
 }
 
 impl Decisions for Brain {
+    fn rest_until(&mut self, until: Duration) {
+        Self::rest_until(self, until);
+    }
     fn listed(&mut self, now: Duration, whole: bool, entries: &[ListEntry], out: &mut dyn Signalling) {
         Self::listed(self, now, whole, entries, out);
     }
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -15,7 +15,6 @@
 use crate::held::{At, Concluded, Counts, Dues, Held, Limits, Pending};
 use crate::links::{Far, Kind, Link};
 use crate::numbers::{Analysed, Numbers};
-use crate::rest::{After, rest};
 use crate::{Decisions, LinkId, Note, Wires};
 
 /// How often links are looked at for silence.
@@ -33,9 +32,6 @@
     brain: D,
     state: State,
     numbers: Option<Box<Numbers>>,
-    /// Nothing is launched before; dialogues that wait for that, by when they are taken up, and how.
-    rests_until: Duration,
-    resting: BTreeMap<(Duration, DialogueId), (After, Dial, Arrival)>,
     /// When links are looked at again, and when the list is tried again.
     sweep_at: Duration,
     list_at: Option<Duration>,
@@ -77,8 +73,6 @@
             brain: decisions(plan),
             state,
             numbers: None,
-            rests_until: Duration::ZERO,
-            resting: BTreeMap::new(),
             sweep_at: Duration::ZERO,
             list_at: Some(Duration::ZERO),
         }
@@ -92,12 +86,7 @@
 
     /// A former life may have left launches at core servers: until then nothing is launched.
     pub fn rest_until(&mut self, until: Duration) {
-        self.rests_until = until;
-    }
-
-    /// Dialogues that wait until the rest is over.
-    pub fn resting(&self) -> usize {
-        self.resting.len()
+        self.brain.rest_until(until);
     }
 
     pub fn numbers(&mut self) -> Option<&mut Numbers> {
@@ -127,9 +116,8 @@
     /// When `alarm` is to be called next.
     pub fn next_due(&self) -> Duration {
         let numbers = self.numbers.as_ref().and_then(|numbers| numbers.next_due());
-        let resting = self.resting.first_key_value().map(|((due, _), _)| *due);
         let pending = self.state.pending.first();
-        let dues = [self.state.alarm, self.state.dues.first(), self.list_at, pending, numbers, resting];
+        let dues = [self.state.alarm, self.state.dues.first(), self.list_at, pending, numbers];
         dues.into_iter().flatten().fold(self.sweep_at, Duration::min)
     }
 
@@ -188,7 +176,6 @@
         self.state.now = now;
         // After a stall, what timed out meanwhile has timed out, though its answer lies in the queue.
         self.time_outs(wires);
-        self.rested(wires);
         self.numbers_due(wires);
         let Some(known) = self.state.links.get_mut(&link) else { return };
         (known.heard, known.asked) = (now, false);
@@ -224,7 +211,6 @@
     pub fn alarm(&mut self, now: Duration, wires: &mut dyn Wires) {
         self.state.now = now;
         self.time_outs(wires);
-        self.rested(wires);
         self.numbers_due(wires);
         while let Some(unsaid) = self.state.pending.overdue(now) {
             self.state.counts.unrecorded += 1;
@@ -372,25 +358,11 @@
             came_back: dial.came_back,
             key: dial.key.clone(),
         };
-        if now < self.rests_until {
-            self.state.counts.rested += 1;
-            let (due, after) = rest(self.rests_until, now, arrival.cut_off);
-            if let Some(held) = self.state.held.get_mut(&arrival.id) {
-                held.at = At::Resting { due };
-            }
-            self.resting.insert((due, arrival.id.clone()), (after, dial, arrival));
-            return;
-        }
-        self.take_up(&dial, arrival, wires);
-    }
-
-    /// A dialogue goes on to its analysis, or to the module.
-    fn take_up(&mut self, dial: &Dial, arrival: Arrival, wires: &mut dyn Wires) {
         if self.numbers.is_some() && dial.dialled.is_some() {
-            return self.analyse(dial, arrival, wires);
+            return self.analyse(&dial, arrival, wires);
         }
         let mut hands = Hands { state: &mut self.state, wires };
-        self.brain.arrived(hands.state.now, arrival, &mut hands);
+        self.brain.arrived(now, arrival, &mut hands);
     }
 
     /// A dialogue that is held is dialled on another link: where it is the same caller's, its former link is
@@ -406,7 +378,7 @@
         if !same {
             return Some(NotTaken::NotYours);
         }
-        if !matches!(held.at, At::Asking | At::Resting { .. } | At::Waiting | At::Out { .. }) {
+        if !matches!(held.at, At::Asking | At::Waiting | At::Out { .. }) {
             return Some(NotTaken::Concluded);
         }
         held.link = link;
@@ -435,11 +407,9 @@
                 self.hands(wires).say(link, Frame::Release { dialogue: id.clone(), launch });
             }
             At::Releasing { .. } => {}
-            before @ (At::Asking | At::Resting { .. }) => {
+            At::Asking => {
                 self.state.counts.left += 1;
-                if let At::Resting { due } = before {
-                    self.resting.remove(&(due, id.clone()));
-                } else if let Some(numbers) = &mut self.numbers {
+                if let Some(numbers) = &mut self.numbers {
                     numbers.forget(id);
                 }
                 self.hands(wires).conclude(id);
@@ -469,7 +439,7 @@
                 hands.end(id, launch, &server, Outcome::TimedOut);
             }
             At::Releasing { server, launch: out, link, .. } if out == launch => {
-                self.over(id, launch, &server, link, LoadReport::default(), wires);
+                self.stood_until_now(id, launch, &server, link, End::Released, LoadReport::default(), wires);
             }
             _ => {}
         }
@@ -521,10 +491,10 @@
             Frame::Ended { dialogue, launch, end, report } => {
                 let at = self.state.held.get(&dialogue).map(|held| held.at.clone());
                 match at {
-                    Some(At::Releasing { launch: out, link: over, .. }) if (out, over) == (launch, link) => {
-                        self.over(&dialogue, launch, server, link, report, wires);
-                    }
-                    Some(At::Standing { launch: out, link: over, .. }) if (out, over) == (launch, link) => {
+                    Some(
+                        At::Standing { launch: out, link: over, .. }
+                        | At::Releasing { launch: out, link: over, .. },
+                    ) if (out, over) == (launch, link) => {
                         self.stood_until_now(&dialogue, launch, server, link, end, report, wires);
                     }
                     _ => {
@@ -576,14 +546,7 @@
         self.brain.ended(hands.state.now, end, &mut hands);
     }
 
-    /// A dialogue that its caller released is over.
-    fn over(
-        &mut self, id: &DialogueId, launch: LaunchNo, server: &ServerId, link: LinkId, report: LoadReport,
-        wires: &mut dyn Wires,
-    ) {
-        self.stood_until_now(id, launch, server, link, End::Released, report, wires);
-    }
-
+    /// A dialogue that stood is over, by its caller's release or without.
     #[expect(clippy::too_many_arguments)]
     fn stood_until_now(
         &mut self, id: &DialogueId, launch: LaunchNo, server: &ServerId, link: LinkId, end: End,
@@ -777,9 +740,9 @@
                 self.stood_until_now(id, launch, server, link, End::Cut, LoadReport::default(), wires);
             }
             Some(At::Releasing { launch, link, .. }) => {
-                self.over(id, launch, server, link, LoadReport::default(), wires);
+                self.stood_until_now(id, launch, server, link, End::Released, LoadReport::default(), wires);
             }
-            Some(At::Asking | At::Resting { .. } | At::Waiting) | None => {}
+            Some(At::Asking | At::Waiting) | None => {}
         }
     }
 
@@ -792,7 +755,6 @@
             numbers.replied(now, server, datagram, wires);
         }
         self.time_outs(wires);
-        self.rested(wires);
         self.numbers_due(wires);
         self.settle(wires);
     }
@@ -840,25 +802,6 @@
         }
     }
 
-    /// Dialogues that rested long enough.
-    fn rested(&mut self, wires: &mut dyn Wires) {
-        let now = self.state.now;
-        while let Some(entry) = self.resting.first_entry().filter(|entry| entry.key().0 <= now) {
-            let (after, dial, arrival) = entry.remove();
-            if let Some(held) = self.state.held.get_mut(&arrival.id) {
-                held.at = At::Waiting;
-            }
-            match after {
-                After::Bring => self.take_up(&dial, arrival, wires),
-                After::LetGo => {
-                    let mut hands = self.hands(wires);
-                    hands.refuse(&arrival.id, None);
-                }
-            }
-            self.hand_over_ends(wires);
-        }
-    }
-
     /// What is due of tables and look-ups, and what came of look-ups meanwhile.
     fn numbers_due(&mut self, wires: &mut dyn Wires) {
         let Some(numbers) = &mut self.numbers else { return };
--- a/crates/edge/src/hands.rs
+++ b/crates/edge/src/hands.rs
@@ -235,12 +235,6 @@
         }
     }
 
-    /// Nothing on a trunk link is a probe: the interface has it for other wires.
-    fn probe(&mut self, _server: &ServerId) {}
-
-    /// Edge proxies share nothing on this wire.
-    fn tell(&mut self, _peer: Option<PeerId>, _message: &[u8]) {}
-
     fn set_timer(&mut self, _timer: TimerId, after: Duration) {
         self.state.alarm = Some(self.state.now + after);
     }
--- a/crates/edge/src/held.rs
+++ b/crates/edge/src/held.rs
@@ -81,18 +81,12 @@
     pub barred: u64,
     pub looked_up: u64,
     pub unanswered: u64,
-    /// Dialogues that waited while the proxy rested after its start.
-    pub rested: u64,
 }
 
 /// Where a dialogue is.
 #[derive(Clone, Debug, PartialEq)]
 pub enum At {
-    /// The proxy rests after its start; the module does not know of it yet ...
-    Resting {
-        due: Duration,
-    },
-    /// ... nor where its number is looked up.
+    /// Its number is looked up; the module does not know of it yet.
     Asking,
     Waiting,
     /// On its way to a server; none yet of its link: it waits for that to come up.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -10,7 +10,6 @@
 mod held;
 mod links;
 mod numbers;
-mod rest;
 
 pub use decisions::Decisions;
 pub use edge::Edge;
--- a/crates/serve/src/logs.rs
+++ b/crates/serve/src/logs.rs
@@ -63,7 +63,6 @@
                         barred = c.barred,
                         looked_up = c.looked_up,
                         unanswered = c.unanswered,
-                        rested = c.rested,
                         launches = c.launches,
                         strays = c.strays,
                         links_closed = c.links_closed,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -99,7 +99,6 @@
     /// From when it may take another whose first choice is another server.
     overflow_at: Duration,
     last_sign: Duration,
-    last_break: Duration,
     /// Set aside: when its next trial may go.
     trial_at: Option<Duration>,
     /// Launches in a row that did not reach it or failed there.
@@ -183,6 +182,8 @@
     /// More than an arrival has come since the rules were last gone through.
     look: bool,
     alarm_set: bool,
+    /// Nothing is launched before.
+    rests_until: Duration,
 }
 
 type Rule = fn(&mut Brain, &mut dyn Signalling) -> bool;
@@ -244,6 +245,7 @@
             by_until: BTreeSet::new(),
             look: true,
             alarm_set: false,
+            rests_until: Duration::ZERO,
         }
     }
 
@@ -255,6 +257,11 @@
 
     // Inputs
 
+    /// A former life may have left launches at core servers: until then nothing new is launched (rule 5).
+    pub fn rest_until(&mut self, until: Duration) {
+        self.rests_until = until;
+    }
+
     pub fn listed(&mut self, now: Duration, whole: bool, entries: &[ListEntry], out: &mut dyn Signalling) {
         let now = self.turn_to(now);
         if whole {
@@ -326,7 +333,7 @@
             at: None,
             called_off: false,
             shunned: None,
-            not_before: now,
+            not_before: now.max(self.rests_until),
         };
         self.look |= now >= dialogue.end().saturating_sub(self.usual());
         self.by_answer.insert((dialogue.answer_by, arrival.id.clone()));
@@ -383,12 +390,6 @@
                 if server.failures >= FAILURES && failures > 0 {
                     server.set_aside(now, why, &end.server, out);
                 }
-            } else if end.outcome == Outcome::BrokenOff {
-                // Standing dialogues cut in a run: it has probably started anew before the list tells.
-                if now < server.last_break + self.figures.silence && server.cold_level(now).is_none() {
-                    server.started = Some(now);
-                }
-                server.last_break = now;
             }
             match end.outcome {
                 Outcome::TurnedBack => server.full(now, self.figures.silence * 2),
@@ -698,7 +699,6 @@
             last_launch: Duration::ZERO,
             overflow_at: Duration::ZERO,
             last_sign: now,
-            last_break: Duration::ZERO,
             trial_at: None,
             failures: 0,
             usual: Duration::ZERO,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -24,10 +24,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct TenantId(pub usize);
 
-/// Another edge proxy.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct PeerId(pub u32);
-
 /// Which launch of a dialogue, counted from 0.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct LaunchNo(pub u32);
@@ -166,9 +162,6 @@
     fn refuse(&mut self, dialogue: &DialogueId, come_back: Option<Duration>);
     fn fail(&mut self, dialogue: &DialogueId);
     fn cancel(&mut self, dialogue: &DialogueId, launch: LaunchNo);
-    fn probe(&mut self, server: &ServerId);
-    /// To one peer, or to all.
-    fn tell(&mut self, peer: Option<PeerId>, message: &[u8]);
     fn set_timer(&mut self, timer: TimerId, after: Duration);
     fn log(&mut self, line: &str);
 }
