Edge: links to former lives end with their last dialogue; servers of a list are bounded

Seen: when the list told another life or address of a server, the link to the former one stayed open for good, asked after every second (the_link_of_a_former_life_is_not_kept failed before). A list that never ends of new names made the proxy connect to each without a bound.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -21,6 +21,8 @@
 const SWEEP: Duration = Duration::from_millis(250);
 /// Between tries to reach the list.
 const LIST_AGAIN: Duration = Duration::from_millis(200);
+/// Core servers known at once; beyond it a new one of the list is left out, and the log says so.
+const MOST_SERVERS: usize = 10_000;
 /// More lines than this no dialogue takes.
 const WIDEST: f64 = 10_000.0;
 
@@ -586,12 +588,14 @@
         }
         let mut told = Vec::new();
         let mut renewed = Vec::new();
+        let mut left_out = 0;
         for entry in entries {
             let since = if entry.age.is_zero() {
                 Duration::ZERO
             } else {
                 now.saturating_sub(entry.age).max(Duration::from_micros(1))
             };
+            let full = self.state.servers.len() >= MOST_SERVERS;
             let known = self.state.servers.get_mut(&entry.server);
             let far = match known {
                 Some(far) => {
@@ -606,6 +610,10 @@
                     far.listed = entry.listed;
                     far
                 }
+                None if full => {
+                    left_out += 1;
+                    continue;
+                }
                 None => self.state.servers.entry(entry.server.clone()).or_insert(Far {
                     address: entry.address.clone(),
                     listed: entry.listed,
@@ -618,6 +626,11 @@
             let (number, listed, since) = (entry.number, far.listed, far.since);
             told.push(ListEntry { server: entry.server, number, listed, since });
         }
+        if left_out > 0 {
+            let line =
+                format!("{left_out} servers of the list are left out: {MOST_SERVERS} are known already");
+            wires.log(Note::Mode, &line);
+        }
         for entry in &told {
             if entry.listed == Listed::Active {
                 self.hands(wires).link_to(&entry.server);
@@ -657,7 +670,14 @@
         for (id, link) in &mut self.state.links {
             let within =
                 if matches!(link.kind, Kind::Fresh) { limits.hello_within } else { limits.connect_within };
-            if !link.greeted && now >= link.since + within {
+            // The link to a former life of a server, or to one that is gone, ends with the last dialogue there.
+            let left = |server| {
+                let far: Option<&Far> = self.state.servers.get(server);
+                far.is_none_or(|far| far.link != Some(*id) || far.listed == Listed::Gone)
+            };
+            if matches!(&link.kind, Kind::Core(server) if link.here.is_empty() && left(server)) {
+                doomed.push((*id, "nobody is there any more"));
+            } else if !link.greeted && now >= link.since + within {
                 doomed.push((*id, "no hello in time"));
             } else if link.greeted && now >= link.heard + limits.dead_after {
                 doomed.push((*id, "silent, taken as dead"));
--- a/crates/edge/tests/hard_cases.rs
+++ b/crates/edge/tests/hard_cases.rs
@@ -576,3 +576,32 @@
     b.at(290).at(320).stood("b", "d1", 0).at(400);
     assert_snapshot!(b.trace());
 }
+
+/// The link to a former life of a server ends with the last dialogue there.
+#[test]
+fn the_link_of_a_former_life_is_not_kept() {
+    let mut b = Bench::new("a");
+    let former = b.link_to("a");
+    b.dials(100, "d1", 0).at(20).stood("a", "d1", 0);
+    b.lists(false, vec![entry("a", "a2", Listed::Active, 2)]).at(1000);
+    assert!(!b.trace.closed.contains(&former), "d1 stands there");
+    b.hears(former, Frame::Pong { nonce: 0 }).hangs_up(100, "d1");
+    let (dialogue, launch, report) = (id("d1"), LaunchNo(0), LoadReport::default());
+    b.hears(former, Frame::Ended { dialogue, launch, end: End::Released, report });
+    b.at(1500);
+    assert!(b.trace.closed.contains(&former), "nobody is there any more");
+}
+
+/// A list that never ends of servers with names of their own fills a bounded table.
+#[test]
+fn more_servers_than_the_bound_are_left_out_and_said() {
+    let mut b = Bench::new("a");
+    b.trace.quiet = true;
+    for part in 0..21 {
+        let entries = (0..500).map(|n| entry(&format!("b{part}-{n}"), "x", Listed::Active, 0)).collect();
+        b.trace.quiet = part < 20;
+        b.lists(false, entries);
+    }
+    assert_eq!(b.edge.decisions().sizes().1, 10_000);
+    assert!(b.trace().contains("500 servers of the list are left out"), "{}", b.trace());
+}
