--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -104,6 +104,12 @@
         (self.state.held.len(), self.state.links.len(), self.state.concluded.len())
     }
 
+    /// When the launch of a dialogue ends by itself, where one is out.
+    pub fn time_out_of(&self, id: &DialogueId) -> Option<Duration> {
+        let held = self.state.held.get(id)?;
+        if let At::Out { until, .. } = held.at { Some(until) } else { None }
+    }
+
     pub fn decisions(&self) -> &D {
         &self.brain
     }
--- a/crates/edge/tests/stages.rs
+++ b/crates/edge/tests/stages.rs
@@ -39,8 +39,12 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Event {
     HangsUp,
+    /// The time it was promised within passes; its cut-off has not come.
+    Promised,
     /// Nothing more comes from the core servers: its time-out and its cut-off pass.
     CutOff,
+    /// The answer of the core server and the launch's time-out come in the same instant.
+    TimeOut,
     /// The same, and the proxy stands still until they have passed.
     Stall,
     CallerGone,
@@ -56,8 +60,19 @@
 use Stage::*;
 
 const STAGES: [Stage; 9] = [Resting, Waiting, Barred, Queued, Out, Answering, Recording, Standing, Releasing];
-const EVENTS: [Event; 9] =
-    [HangsUp, CutOff, Stall, CallerGone, CoreGone, Drains, DialledAgain, DialledElsewhere, Killed];
+const EVENTS: [Event; 11] = [
+    HangsUp,
+    Promised,
+    CutOff,
+    TimeOut,
+    Stall,
+    CallerGone,
+    CoreGone,
+    Drains,
+    DialledAgain,
+    DialledElsewhere,
+    Killed,
+];
 
 #[derive(Clone, Debug)]
 enum Happens {
@@ -457,7 +472,22 @@
     fn befalls(&mut self, event: Event) {
         match event {
             HangsUp => self.hangs_up(self.owner),
+            Promised => self.until(self.net.now + MS * 700),
             CutOff => self.net.mute = true,
+            TimeOut => {
+                self.net.mute = true;
+                let Some((launch, link)) = self.net.out else { return };
+                let due = self.edge.as_ref().expect("it runs").time_out_of(&id()).expect("it is out");
+                // The module gives up before; not where the proxy stands still until then.
+                self.pass(due, true);
+                let report = LoadReport::default();
+                let out = self.net.out == Some((launch, link));
+                self.heard(link, Frame::Stood { dialogue: id(), launch, report });
+                // A time-out that has come is one, though the answer lies beside it.
+                if out && self.net.answers.iter().any(|(_, answer)| answer.contains("Stands")) {
+                    self.net.wrong("stands in the instant of its time-out");
+                }
+            }
             Stall => {
                 self.net.mute = true;
                 let past = self.net.now + MS * 2000;
