A plan without a tick or without proxies: alarms come later than now, cold servers stay spaced

Seen: with tick 0 the module asked for an alarm at once, again and again; with no proxy in the plan the gap between launches to a cold server was nothing. At fault: Brain::new, which took both as they came. The test fails without either.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -200,6 +200,7 @@
 impl Brain {
     pub fn new(mut plan: RoutePlan, seed: u64) -> Self {
         plan.release = plan.release.min(LONGEST);
+        (plan.proxies, plan.tick) = (plan.proxies.max(1), plan.tick.max(Duration::from_micros(1)));
         for product in &mut plan.products {
             product.promised = product.promised.min(LONGEST);
             product.patience = product.patience.min(LONGEST);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -892,6 +892,18 @@
     brain.listed(MS, true, &[entry("a", 0, MS)], &mut deeds);
     brain.arrived(MS, Arrival { tenant: Some(TenantId(0)), ..arrival("d1", MS, MS * 50) }, &mut deeds);
     assert_eq!(answers(&deeds), 1);
+    // No time between two inputs and no proxy, not even this one: alarms still come later than now, and a cold server
+    // is still sent one launch at a time.
+    let mut idle = plan(&mut Pcg::new(1), 0);
+    idle.tick = Duration::ZERO;
+    let (mut brain, mut deeds) = (Brain::new(idle, 7), Deeds::default());
+    brain.listed(MS * 100, true, &[entry("a", 0, MS * 100)], &mut deeds);
+    for n in 0..3 {
+        brain.arrived(MS * 700, arrival(&format!("d{n}"), MS * 700, MS * 3000), &mut deeds);
+    }
+    assert!(deeds.alarm > Some(Duration::ZERO), "{:?}", deeds.alarm);
+    let launched = deeds.done.iter().filter(|deed| matches!(deed, Deed::Launch(..))).count();
+    assert!(launched <= 1, "{launched} launches at once");
     let mut endless = plan(&mut Pcg::new(1), 4);
     endless.release = Duration::MAX;
     for product in &mut endless.products {
