--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -303,16 +303,13 @@
     ) {
         let id = dial.dialogue.clone();
         let why = if let Some(held) = self.state.held.get(&id) {
-            if matches!(held.at, At::Releasing { .. }) {
-                Some(NotTaken::Concluded)
-            } else if held.link == link {
+            if held.link == link && !matches!(held.at, At::Releasing { .. }) {
                 self.state.counts.repeats += 1; // It is in already, and will have its answer.
                 return;
-            } else {
-                match self.take_over(&id, link) {
-                    None => return,
-                    why => why,
-                }
+            }
+            match self.take_over(&id, link) {
+                None => return,
+                why => why,
             }
         } else if self.state.concluded.contains(&id) {
             Some(NotTaken::Concluded)
--- a/crates/edge/tests/stages.rs
+++ b/crates/edge/tests/stages.rs
@@ -416,7 +416,7 @@
         }
     }
 
-    /// Brings the dialogue to a stage; gives when that is.
+    /// Brings the dialogue to a stage.
     fn reach(&mut self, stage: Stage) {
         if stage == Resting {
             self.edge.as_mut().expect("it runs").rest_until(RELEASE);
@@ -435,8 +435,7 @@
         self.net.over_at = self.net.now + MS * 1500;
         self.dials(100, MS * 1500);
         match stage {
-            Resting | Waiting | Queued => self.until(MS * 30),
-            Out => self.until(MS * 30),
+            Resting | Waiting | Queued | Out => self.until(MS * 30),
             Barred => {
                 while self.net.doubt.is_none() {
                     let next = self.net.now + MS;
--- a/src/ranked.rs
+++ b/src/ranked.rs
@@ -102,15 +102,19 @@
         let Some(chunk) = self.chunks.get_mut(place) else { return };
         if let Ok(at) = chunk.entries.binary_search_by(|entry| entry.key.cmp(key)) {
             let gone = chunk.entries.remove(at);
-            if chunk.entries.is_empty() {
-                self.chunks.remove(place);
-            } else if gone.lot <= chunk.lowest_lot || gone.width <= chunk.lowest_width {
+            if gone.lot <= chunk.lowest_lot || gone.width <= chunk.lowest_width {
                 chunk.look_again();
             }
-            if gone.lot <= self.lowest_lot || gone.width <= self.lowest_width {
-                let lowest =
-                    |of: fn(&Chunk<K>) -> f64| self.chunks.iter().map(of).fold(f64::INFINITY, f64::min);
-                (self.lowest_lot, self.lowest_width) = (lowest(|c| c.lowest_lot), lowest(|c| c.lowest_width));
+            // Mostly another of the chunk is as low as the one that went.
+            if chunk.lowest_lot > self.lowest_lot && gone.lot <= self.lowest_lot {
+                self.lowest_lot = self.chunks.iter().map(|c| c.lowest_lot).fold(f64::INFINITY, f64::min);
+            }
+            let chunk = &self.chunks[place];
+            if chunk.lowest_width > self.lowest_width && gone.width <= self.lowest_width {
+                self.lowest_width = self.chunks.iter().map(|c| c.lowest_width).fold(f64::INFINITY, f64::min);
+            }
+            if self.chunks[place].entries.is_empty() {
+                self.chunks.remove(place);
             }
         }
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -958,4 +958,11 @@
         );
     }
     assert!(brain.sizes().1 < 1000, "{:?}", brain.sizes());
+    // Callers that are let go at once, all within the time for which one is remembered.
+    let now = MS * 400_000;
+    for n in 0..200_100 {
+        let key = Some(DialledKey(Arc::from(format!("k{n}"))));
+        brain.arrived(now, Arrival { key, ..arrival(&format!("c{n}"), now, now) }, &mut deeds);
+    }
+    assert_eq!(brain.sizes().3, 200_000);
 }
