--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -45,7 +45,11 @@
     },
     /// Runs an edge proxy until it is killed.
     Serve {
-        sheet: PathBuf,
+        #[arg(required_unless_present = "platform")]
+        sheet: Option<PathBuf>,
+        /// As the platform starts it: configured by the file that RELAY_CONFIG names, in the platform's protocol.
+        #[arg(long, conflicts_with_all = ["sheet", "tied", "baseline"])]
+        platform: bool,
         /// End when standard input ends.
         #[arg(long, hide = true)]
         tied: bool,
@@ -118,8 +122,9 @@
 fn run(what: What) -> Result<()> {
     match what {
         What::Demo { seconds, seed, out } => days::demo(seconds, seed, out),
-        What::Serve { sheet, tied, baseline } => {
-            let sheet = EdgeSheet::load(&sheet)?;
+        What::Serve { platform: true, .. } => lotussaddle_front::serve(),
+        What::Serve { sheet, tied, baseline, .. } => {
+            let sheet = EdgeSheet::load(&sheet.unwrap_or_default())?;
             if tied {
                 end_with_input()?;
             }
--- a/crates/drill/src/fields.rs
+++ b/crates/drill/src/fields.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result, bail, ensure};
+use lotussaddle_settings::millis;
 
 pub struct Fields<'a>(Vec<(&'a str, &'a str)>);
 
@@ -58,11 +59,3 @@
 pub fn parse<T: FromStr>(name: &str, value: &str) -> Result<T> {
     value.parse().ok().with_context(|| format!("{name}={value} cannot be read"))
 }
-
-/// No time on the wire is longer than this, so that sums of a few never overflow.
-const LONGEST_MS: f64 = 1e15;
-
-pub fn millis(name: &str, value: f64) -> Result<Duration> {
-    ensure!((0.0..=LONGEST_MS).contains(&value), "{name}={value} is no time");
-    Ok(Duration::from_secs_f64(value / 1000.0))
-}
--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -2,7 +2,6 @@
 
 mod fields;
 mod reply;
-mod start;
 mod wire;
 
 use std::io::{self, BufRead, Write};
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -9,10 +9,10 @@
 use base64::engine::general_purpose::STANDARD as BASE64;
 use lotussaddle::brain::Brain;
 use lotussaddle::interface::*;
+use lotussaddle_settings::{load_report, millis, route_plan};
 
-use crate::fields::{Fields, millis, parse};
+use crate::fields::{Fields, parse};
 use crate::reply::Reply;
-use crate::start;
 
 #[derive(Default)]
 pub struct Wire {
@@ -79,7 +79,7 @@
                 self.filling = Some((list, entries)).filter(|_| entries > 0);
             }
             "ENLIST" => {
-                let plan = start::route_plan(fields.need("conf")?)?;
+                let plan = route_plan(fields.need("conf")?)?;
                 let products = plan.products.len();
                 let brain = Brain::new(plan, fields.whole("rngSeed")?);
                 let number = self.selected.context("no instance is selected")?;
@@ -98,7 +98,7 @@
                 instance.brain.left(now, &id, reply);
             }
             "STATUS_BACK" => {
-                let (server, report) = (server(&fields)?, load_report(&fields)?);
+                let (server, report) = (server(&fields)?, usage(&fields)?);
                 outcome(fields.need("outcome")?)?;
                 fields.time("durationMs")?;
                 let now = self.now;
@@ -112,7 +112,7 @@
                     server: server(&fields)?,
                     outcome: launch_outcome(&fields)?,
                     closed: fields.flag("noMore")?,
-                    report: load_report(&fields)?,
+                    report: usage(&fields)?,
                 };
                 let now = self.now;
                 let (instance, reply) = self.instance()?;
@@ -240,23 +240,6 @@
     })
 }
 
-/// Negative figures stand for what was not told.
-fn load_report(fields: &Fields) -> Result<LoadReport> {
-    let mut report = LoadReport::default();
-    let usage = fields.get("usage").unwrap_or_default();
-    for pair in usage.split(',').filter(|pair| !pair.is_empty() && *pair != "-") {
-        let (name, value) = pair.split_once(':').with_context(|| format!("no value in usage {pair}"))?;
-        let value: f64 = parse(name, value)?;
-        let told = Some(value).filter(|v| *v >= 0.0 && v.is_finite());
-        match name {
-            "spare" => report.free_lines = told,
-            "total" => report.lines = told,
-            "load_share" => report.busy = told,
-            "depth" => report.queue = told,
-            "mean_ms" => report.wait = told.map(|v| millis(name, v)).transpose()?,
-            "allowed" => report.rate = told,
-            _ => {}
-        }
-    }
-    Ok(report)
+fn usage(fields: &Fields) -> Result<LoadReport> {
+    load_report(fields.get("usage").filter(|usage| *usage != "-").unwrap_or_default(), ',')
 }
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -8,7 +8,7 @@
 use lotussaddle::interface::*;
 use lotussaddle_numbers::Tables;
 use lotussaddle_trunk::{
-    Cause, Dial, End, Entry, Frame, Hello, Message, NotTaken, Role, TablesOrder, VERSION,
+    Cause, Dial, End, Entry, Extra, Frame, Hello, Message, NotTaken, Role, TablesOrder, VERSION,
 };
 
 use crate::hands::{Hands, State};
@@ -140,7 +140,7 @@
     pub fn recorded(&mut self, now: Duration, number: u64, wires: &mut dyn Wires) {
         self.state.now = now;
         if let Some(unsaid) = self.state.pending.take(number) {
-            self.hands(wires).say(unsaid.link, unsaid.frame);
+            self.hands(wires).tell(unsaid.link, unsaid.message);
         }
         self.settle(wires);
     }
@@ -173,6 +173,115 @@
         self.settle(wires);
     }
 
+    /// The shell vouches for a link that came in or was begun: it is up, whoever is there needs no hello, and it lasts
+    /// until the shell says that it is lost. So it is where dialogues belong to no connection.
+    pub fn admitted(&mut self, now: Duration, link: LinkId, wires: &mut dyn Wires) {
+        self.state.now = now;
+        if let Some(known) = self.state.links.get_mut(&link) {
+            (known.greeted, known.vouched) = (true, true);
+            if matches!(known.kind, Kind::Fresh) {
+                known.kind = Kind::Caller(Arc::from("callers"));
+                self.state.fresh.retain(|fresh| *fresh != link);
+            }
+            self.send_queued(link, wires);
+        }
+        self.settle(wires);
+    }
+
+    /// A launch on this link has ended with this outcome, which no frame tells.
+    #[expect(clippy::too_many_arguments)]
+    pub fn launch_came_to(
+        &mut self, now: Duration, link: LinkId, id: &DialogueId, launch: LaunchNo, outcome: Outcome,
+        report: LoadReport, wires: &mut dyn Wires,
+    ) {
+        self.state.now = now;
+        self.time_outs(wires);
+        if let Some(server) = self.server_of(link) {
+            self.launch_ended(link, &server, id, launch, outcome, report, wires);
+        }
+        self.settle(wires);
+    }
+
+    /// A dialogue that stands, or is being released, at this link's server is over, whichever launch of it that was.
+    /// False: none is held there.
+    pub fn over(
+        &mut self, now: Duration, link: LinkId, id: &DialogueId, end: End, report: LoadReport,
+        wires: &mut dyn Wires,
+    ) -> bool {
+        self.state.now = now;
+        self.time_outs(wires);
+        let at = self.state.held.get(id).map(|held| &held.at);
+        let launch = match at {
+            Some(At::Standing { launch, link: over, .. } | At::Releasing { launch, link: over, .. })
+                if *over == link =>
+            {
+                *launch
+            }
+            _ => return false,
+        };
+        if let Some(server) = self.server_of(link) {
+            self.stood_until_now(id, launch, &server, link, end, report, wires);
+        }
+        self.settle(wires);
+        true
+    }
+
+    /// A dialogue stands at that server already, placed by a former life of this edge proxy: no answer is owed for
+    /// it. False: it is not taken, since the server is not known here or too much is held.
+    pub fn stands_there(
+        &mut self, now: Duration, link: LinkId, dial: &Dial, server: &ServerId, wires: &mut dyn Wires,
+    ) -> bool {
+        self.state.now = now;
+        self.time_outs(wires);
+        let id = &dial.dialogue;
+        let taken = if self.state.held.contains_key(id) {
+            true
+        } else if self.state.held.len() < self.state.limits.dialogues
+            && let Some(there) = self.hands(wires).link_to(server)
+        {
+            let at = At::Standing { server: server.clone(), launch: LaunchNo(0), link: there };
+            let held = Held {
+                link,
+                cut_off: now,
+                at,
+                launches: 1,
+                product: dial.product,
+                width: dial.width,
+                key: dial.key.clone(),
+                number: None,
+                extra: Box::default(),
+            };
+            self.state.held.insert(id.clone(), held);
+            for link in [link, there] {
+                if let Some(known) = self.state.links.get_mut(&link) {
+                    known.here.insert(id.clone());
+                }
+            }
+            true
+        } else {
+            false
+        };
+        self.settle(wires);
+        taken
+    }
+
+    /// Dialogues that came or went over this link and are still held.
+    pub fn held_on(&self, link: LinkId) -> usize {
+        self.state.links.get(&link).map_or(0, |known| known.here.len())
+    }
+
+    /// Whether this dialogue is held, and whether it stands.
+    pub fn holds(&self, id: &DialogueId) -> Option<bool> {
+        self.state.held.get(id).map(|held| !matches!(held.at, At::Asking | At::Waiting | At::Out { .. }))
+    }
+
+    fn server_of(&self, link: LinkId) -> Option<ServerId> {
+        match &self.state.links.get(&link)?.kind {
+            Kind::Core(server) => Some(server.clone()),
+            _ => None,
+        }
+    }
+
     /// A link has gone, or did not come up.
     pub fn lost(&mut self, now: Duration, link: LinkId, why: &str, wires: &mut dyn Wires) {
         self.state.now = now;
@@ -204,7 +313,7 @@
             }
             (Kind::Core(server), true, frame) => {
                 let server = server.clone();
-                if !self.core_said(link, &server, frame, wires) {
+                if !self.core_said(link, &server, frame, message.extra, wires) {
                     self.drop_link(link, "said what is not a core server's to say", wires);
                 }
             }
@@ -222,7 +331,7 @@
         self.numbers_due(wires);
         while let Some(unsaid) = self.state.pending.overdue(now) {
             self.state.counts.unrecorded += 1;
-            self.hands(wires).say(unsaid.link, unsaid.frame);
+            self.hands(wires).tell(unsaid.link, unsaid.message);
         }
         if self.state.alarm.is_some_and(|at| at <= now) {
             self.state.alarm = None;
@@ -275,20 +384,23 @@
                 let hello = Hello::new(Role::Edge, self.name.clone());
                 self.hands(wires).say(link, Frame::Hello(hello));
             }
-            Kind::Core(server) => {
-                let far = self.state.servers.get_mut(server).filter(|far| far.link == Some(link));
-                let queued = far.map(|far| std::mem::take(&mut far.queued)).unwrap_or_default();
-                let server = server.clone();
-                for id in queued {
-                    if !self.hands(wires).send_launch(&id, link) {
-                        self.unreached(&id, &server, wires);
-                    }
-                }
-            }
+            Kind::Core(_) => self.send_queued(link, wires),
             Kind::List | Kind::Fresh => {}
         }
     }
 
+    /// What waited for this link to come up goes.
+    fn send_queued(&mut self, link: LinkId, wires: &mut dyn Wires) {
+        let Some(server) = self.server_of(link) else { return };
+        let far = self.state.servers.get_mut(&server).filter(|far| far.link == Some(link));
+        let queued = far.map(|far| std::mem::take(&mut far.queued)).unwrap_or_default();
+        for id in queued {
+            if !self.hands(wires).send_launch(&id, link) {
+                self.unreached(&id, &server, wires);
+            }
+        }
+    }
+
     fn unreached(&mut self, id: &DialogueId, server: &ServerId, wires: &mut dyn Wires) {
         let at = self.state.held.get(id).map(|held| &held.at);
         if let Some(&At::Out { launch, .. }) = at {
@@ -298,9 +410,7 @@
         }
     }
 
-    fn dialled(
-        &mut self, link: LinkId, dial: Dial, extra: Vec<lotussaddle_trunk::Extra>, wires: &mut dyn Wires,
-    ) {
+    fn dialled(&mut self, link: LinkId, dial: Dial, extra: Vec<Extra>, wires: &mut dyn Wires) {
         let id = dial.dialogue.clone();
         let why = if let Some(held) = self.state.held.get(&id) {
             if held.link == link && !matches!(held.at, At::Releasing { .. }) {
@@ -453,7 +563,9 @@
     // Core servers
 
     /// False: a frame that a core server does not send.
-    fn core_said(&mut self, link: LinkId, server: &ServerId, frame: Frame, wires: &mut dyn Wires) -> bool {
+    fn core_said(
+        &mut self, link: LinkId, server: &ServerId, frame: Frame, extra: Vec<Extra>, wires: &mut dyn Wires,
+    ) -> bool {
         let now = self.state.now;
         match frame {
             Frame::Report { report } => self.reported(server, &report, wires),
@@ -464,12 +576,13 @@
                     hands.state.counts.stood += 1;
                     if let Some(held) = hands.state.held.get_mut(&dialogue) {
                         held.at = At::Standing { server: server.clone(), launch, link };
+                        held.extra = Box::default(); // No launch will carry it any more.
                         let caller = (held.link, held.cut_off);
                         if let Some(known) = hands.state.links.get_mut(&link) {
                             known.here.insert(dialogue.clone());
                         }
                         let stands = Frame::Stands { dialogue: dialogue.clone(), server: server.clone() };
-                        hands.answer(caller, &dialogue, stands);
+                        hands.answer(caller, &dialogue, Message { frame: stands, extra });
                     }
                     self.brain.stands(now, &dialogue, launch, server, &mut hands);
                 } else {
@@ -680,6 +793,7 @@
             };
             if matches!(&link.kind, Kind::Core(server) if link.here.is_empty() && left(server)) {
                 doomed.push((*id, "nobody is there any more"));
+            } else if link.vouched {
             } else if !link.greeted && now >= link.since + within {
                 doomed.push((*id, "no hello in time"));
             } else if link.greeted && now >= link.heard + limits.dead_after {
--- a/crates/edge/src/hands.rs
+++ b/crates/edge/src/hands.rs
@@ -40,24 +40,28 @@
 impl Hands<'_> {
     /// A link that cannot take a message is given up: what was to be said is not to be lost in silence.
     pub fn say(&mut self, link: LinkId, frame: Frame) {
-        if !self.wires.say(link, frame.into()) {
+        self.tell(link, frame.into());
+    }
+
+    pub fn tell(&mut self, link: LinkId, message: Message) {
+        if !self.wires.say(link, message) {
             self.state.broken.push_back((link, "its queue is full"));
         }
     }
 
     /// Gives a final answer, once it is recorded that it is given: a crash in between leaves a dialogue that is known
     /// to have been answered and was not, never one that is answered twice.
-    pub fn answer(&mut self, (link, cut_off): (LinkId, Duration), dialogue: &DialogueId, frame: Frame) {
-        match self.wires.record(dialogue, &frame) {
+    pub fn answer(&mut self, (link, cut_off): (LinkId, Duration), dialogue: &DialogueId, message: Message) {
+        match self.wires.record(dialogue, &message.frame) {
             // After a stall there may be no time to wait for it.
             Some(number) if self.state.now < cut_off => {
                 let by = cut_off.min(self.state.now + self.state.limits.record_within);
-                let unsaid = Unsaid { link, dialogue: dialogue.clone(), frame };
+                let unsaid = Unsaid { link, dialogue: dialogue.clone(), message };
                 self.state.pending.add(by, number, unsaid);
             }
             _ => {
                 self.state.counts.unrecorded += u64::from(!self.state.limits.record_within.is_zero());
-                self.say(link, frame);
+                self.tell(link, message);
             }
         }
     }
@@ -66,7 +70,7 @@
     pub fn flush(&mut self, id: &DialogueId) {
         if let Some(unsaid) = self.state.pending.drop_of(id) {
             self.state.counts.unrecorded += 1;
-            self.say(unsaid.link, unsaid.frame);
+            self.tell(unsaid.link, unsaid.message);
         }
     }
 
@@ -216,14 +220,14 @@
     fn refuse(&mut self, dialogue: &DialogueId, come_back: Option<Duration>) {
         if let Some(to) = self.conclude(dialogue) {
             self.state.counts.refused += 1;
-            self.answer(to, dialogue, Frame::Refused { dialogue: dialogue.clone(), come_back });
+            self.answer(to, dialogue, Frame::Refused { dialogue: dialogue.clone(), come_back }.into());
         }
     }
 
     fn fail(&mut self, dialogue: &DialogueId) {
         if let Some(to) = self.conclude(dialogue) {
             self.state.counts.failed += 1;
-            self.answer(to, dialogue, Frame::Failed { dialogue: dialogue.clone() });
+            self.answer(to, dialogue, Frame::Failed { dialogue: dialogue.clone() }.into());
         }
     }
 
--- a/crates/edge/src/held.rs
+++ b/crates/edge/src/held.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use lotussaddle::interface::{DialledKey, DialogueId, LaunchNo, ServerId};
-use lotussaddle_trunk::{Extra, Frame};
+use lotussaddle_trunk::{Extra, Message};
 
 use crate::LinkId;
 
@@ -163,7 +163,7 @@
 pub struct Unsaid {
     pub link: LinkId,
     pub dialogue: DialogueId,
-    pub frame: Frame,
+    pub message: Message,
 }
 
 /// Answers that wait until they are recorded.
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -20,6 +20,8 @@
     pub kind: Kind,
     /// It is up and the other side has said hello.
     pub greeted: bool,
+    /// The shell vouches for it: no hello, no pings, never swept for silence.
+    pub vouched: bool,
     /// When it was begun.
     pub since: Duration,
     pub heard: Duration,
@@ -34,6 +36,7 @@
         Self {
             kind,
             greeted: false,
+            vouched: false,
             since: now,
             heard: now,
             asked: false,
--- a/crates/links/src/lib.rs
+++ b/crates/links/src/lib.rs
@@ -9,4 +9,4 @@
 mod listener;
 
 pub use hub::{Bounds, Happening, Hub, Opened, Token};
-pub use listener::Gate;
+pub use listener::{Gate, listen};
--- a/crates/links/src/listener.rs
+++ b/crates/links/src/listener.rs
@@ -12,6 +12,15 @@
 
 const STACK: usize = 64 * 1024;
 
+/// Listens where a former life may have listened a moment ago.
+pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(1024)?;
+    Ok(socket.into())
+}
+
 /// One listening address of a hub.
 pub struct Gate {
     number: u32,
@@ -32,11 +41,7 @@
         if !self.shut.load(Ordering::Relaxed) {
             return Ok(());
         }
-        let socket = Socket::new(Domain::for_address(self.address), Type::STREAM, None)?;
-        socket.set_reuse_address(true)?;
-        socket.bind(&self.address.into())?;
-        socket.listen(1024)?;
-        let listener: TcpListener = socket.into();
+        let listener = listen(self.address)?;
         self.address = listener.local_addr()?;
         self.shut = Arc::default();
         let (shut, maker, number) = (self.shut.clone(), hub.maker(), self.number);
--- /dev/null
+++ b/crates/platform/src/cores.rs
@@ -0,0 +1,102 @@
+//! Core servers: the connections of each of their lives, and what tells that a life is over.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use lotussaddle::interface::LaunchNo;
+use lotussaddle_edge::LinkId;
+
+use crate::SocketId;
+use crate::codec::{Cutter, Form, Tag};
+
+/// Set-ups called off on a connection that are remembered, to know an answer that crossed from one unheard of.
+const CALLED_OFF: usize = 64;
+
+/// One life of a core server, for as long as something of it is held or the list names it.
+pub struct Life {
+    /// The text by which the edge knows it.
+    pub key: String,
+    pub address: SocketAddr,
+    pub host: Arc<str>,
+    pub sockets: Vec<SocketId>,
+    /// Releases that wait for a connection.
+    pub releases: Vec<Tag>,
+    /// When anything last came from there, or a connection came up.
+    pub sign: Duration,
+    /// When a connection was last begun, and when the next may be that no launch asks for.
+    pub begun: Duration,
+    pub again: Duration,
+    /// Connections in a row that did not come up in time.
+    pub late: u32,
+    pub gone: bool,
+    /// The report that came last by itself: on several connections it comes several times.
+    pub report: (Duration, String),
+}
+
+impl Life {
+    pub fn address(host: &str, dial: &str, born_ms: u64) -> String {
+        format!("{host} {dial} {born_ms}")
+    }
+
+    pub fn at(address: &str, now: Duration) -> Option<Self> {
+        let mut parts = address.split(' ');
+        let (host, dial) = (parts.next()?, parts.next()?);
+        Some(Self {
+            key: address.to_owned(),
+            address: dial.parse().ok()?,
+            host: Arc::from(host),
+            sockets: Vec::new(),
+            releases: Vec::new(),
+            sign: now,
+            begun: now,
+            again: now,
+            late: 0,
+            gone: false,
+            report: (Duration::ZERO, String::new()),
+        })
+    }
+}
+
+/// A connection to a core server.
+pub struct Core {
+    pub link: LinkId,
+    pub up: bool,
+    pub since: Duration,
+    pub heard: Duration,
+    /// When a set-up last went out on it.
+    pub used: Duration,
+    pub cutter: Cutter,
+    pub open: BTreeMap<Tag, LaunchNo>,
+    /// Set-ups that wait until it is up, until when they are of use.
+    pub waiting: Vec<(Tag, Duration, Vec<u8>)>,
+    called_off: VecDeque<Tag>,
+}
+
+impl Core {
+    pub fn new(link: LinkId, now: Duration) -> Self {
+        Self {
+            link,
+            up: false,
+            since: now,
+            heard: now,
+            used: now,
+            cutter: Cutter::new(Form::Binary),
+            open: BTreeMap::new(),
+            waiting: Vec::new(),
+            called_off: VecDeque::new(),
+        }
+    }
+
+    pub fn called_off(&mut self, tag: Tag) {
+        if self.called_off.len() >= CALLED_OFF {
+            self.called_off.pop_front();
+        }
+        self.called_off.push_back(tag);
+    }
+
+    pub fn was_called_off(&self, tag: Tag) -> bool {
+        self.called_off.contains(&tag)
+    }
+}
--- a/crates/drill/src/start.rs
+++ b/crates/settings/src/plan.rs
@@ -3,12 +3,10 @@
 use std::num::NonZeroU32;
 use std::time::Duration;
 
-use anyhow::{Context, Result};
+use anyhow::{Context, Result, ensure};
 use lotussaddle::interface::{Product, RoutePlan, ServerNumber, Tenant};
 use serde::Deserialize;
 
-use crate::fields::millis;
-
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct StartSheet {
@@ -117,3 +115,11 @@
         fall_multiple: rules.tip_multiple,
     })
 }
+
+/// No time of the settings is longer than this, so that sums of a few never overflow.
+const LONGEST_MS: f64 = 1e15;
+
+pub fn millis(name: &str, value: f64) -> Result<Duration> {
+    ensure!((0.0..=LONGEST_MS).contains(&value), "{name}={value} is no time");
+    Ok(Duration::from_secs_f64(value / 1000.0))
+}
--- /dev/null
+++ b/crates/settings/src/report.rs
@@ -0,0 +1,26 @@
+//! Load reports: pairs of a name and a figure.
+
+use anyhow::{Context, Result};
+use lotussaddle::interface::LoadReport;
+
+use crate::millis;
+
+/// Negative figures stand for what was not told; names that are not known are passed over.
+pub fn load_report(text: &str, between: char) -> Result<LoadReport> {
+    let mut report = LoadReport::default();
+    for pair in text.split(between).filter(|pair| !pair.is_empty() && *pair != "-") {
+        let (name, value) = pair.split_once(':').with_context(|| format!("no value in usage {pair}"))?;
+        let value: f64 = value.parse().ok().with_context(|| format!("{name}={value} cannot be read"))?;
+        let told = Some(value).filter(|v| *v >= 0.0 && v.is_finite());
+        match name {
+            "spare" => report.free_lines = told,
+            "total" => report.lines = told,
+            "load_share" => report.busy = told,
+            "depth" => report.queue = told,
+            "mean_ms" => report.wait = told.map(|v| millis(name, v)).transpose()?,
+            "allowed" => report.rate = told,
+            _ => {}
+        }
+    }
+    Ok(report)
+}
