--- a/crates/platform/src/codec.rs
+++ b/crates/platform/src/codec.rs
@@ -340,7 +340,7 @@
     }
 
     /// The next whole message; none: more has to come.
-    pub fn next(&mut self) -> Result<Option<&[u8]>, &'static str> {
+    pub fn message(&mut self) -> Result<Option<&[u8]>, &'static str> {
         let held = &self.held[self.read..];
         let most = match self.form {
             Form::Binary => {
--- a/crates/platform/src/feed.rs
+++ b/crates/platform/src/feed.rs
@@ -116,7 +116,7 @@
     /// Takes what came; gives each event once and in order.
     pub fn read(&mut self, now: Duration, bytes: &[u8], events: &mut Vec<Event>) -> Result<(), Broken> {
         self.cutter.take(bytes);
-        while let Some(line) = self.cutter.next().map_err(Broken)? {
+        while let Some(line) = self.cutter.message().map_err(Broken)? {
             if line.iter().all(u8::is_ascii_whitespace) {
                 continue;
             }
--- a/crates/platform/src/sessions.rs
+++ b/crates/platform/src/sessions.rs
@@ -276,7 +276,7 @@
             }
             cutter.take(bytes);
             loop {
-                let said = match cutter.next() {
+                let said = match cutter.message() {
                     Ok(None) => break,
                     Ok(Some(message)) => {
                         Binary::read(message).and_then(|m| self.core_said(socket, link, &m, net))
@@ -304,7 +304,7 @@
 
     fn caller_read(&mut self, socket: SocketId, cutter: &mut Cutter, net: &mut dyn Net) {
         loop {
-            let said = match cutter.next() {
+            let said = match cutter.message() {
                 Ok(None) => return,
                 Ok(Some(line)) => codec::caller_said(line),
                 Err(why) => Err(Wrong { tag: None, why }),
