Tests of codec, feed, sessions and the program; no wait for a connect that failed before

Where the last connect to a life did not come up and none is up, a launch is told out of reach at once, and the connect is tried again beside it (desk.rs, socket_for).

--- a/crates/edge/tests/hard_cases.rs
+++ b/crates/edge/tests/hard_cases.rs
@@ -605,3 +605,86 @@
     assert_eq!(b.edge.decisions().sizes().1, 10_000);
     assert!(b.trace().contains("500 servers of the list are left out"), "{}", b.trace());
 }
+
+/// Callers and servers on links that the shell vouches for, as where dialogues belong to no connection.
+fn vouched() -> Bench {
+    let mut b = Bench::bare(Limits::default());
+    b.trace.quiet = true;
+    b.at(0);
+    let list = b.link_to("list");
+    b.edge.admitted(ms(0), list, &mut b.trace);
+    b.hears(list, Frame::List { whole: true, entries: vec![entry("a", "a", Listed::Active, 0)] });
+    b.edge.linked(ms(0), LinkId(100), &mut b.trace);
+    b.edge.admitted(ms(0), LinkId(100), &mut b.trace);
+    b.trace.quiet = false;
+    b
+}
+
+#[test]
+fn links_that_are_vouched_for_take_what_waited_and_are_never_asked_nor_swept() {
+    let mut b = vouched();
+    b.dials(100, "d1", 0);
+    assert_eq!(b.trace(), "", "it waits for the link");
+    let link = b.link_to("a");
+    b.edge.admitted(ms(0), link, &mut b.trace);
+    b.stood("a", "d1", 0).at(20_000);
+    let lines: Vec<&str> = b.trace().lines().filter(|line| line.contains("d1")).collect();
+    assert_eq!(lines, ["     0 to 2: launch d1 no 0 for 1.5s", "     0 to 100: d1 stands at a"]);
+    assert!(!b.trace().contains("Ping") && b.trace.closed.is_empty(), "{}", b.trace());
+    assert_eq!(b.edge.held_on(link), 1);
+}
+
+#[test]
+fn a_launch_and_a_standing_dialogue_may_end_without_a_frame() {
+    let mut b = vouched();
+    let link = b.link_to("a");
+    b.edge.admitted(ms(0), link, &mut b.trace);
+    b.dials(100, "d1", 0).at(10);
+    let report = LoadReport::default;
+    let at = |b: &Bench| ms(b.trace.now);
+    // Another launch than the one that is out, and one on another link, end nothing.
+    b.edge.launch_came_to(at(&b), link, &id("d1"), LaunchNo(7), Outcome::NotSent, report(), &mut b.trace);
+    b.edge.launch_came_to(
+        at(&b),
+        LinkId(9),
+        &id("d1"),
+        LaunchNo(0),
+        Outcome::NotSent,
+        report(),
+        &mut b.trace,
+    );
+    assert_eq!(b.edge.counts().launches, 1);
+    b.edge.launch_came_to(at(&b), link, &id("d1"), LaunchNo(0), Outcome::NotSent, report(), &mut b.trace);
+    assert_eq!(b.edge.counts().launches, 2, "what never left goes again at once: {}", b.trace());
+    assert!(
+        !b.edge.over(at(&b), link, &id("d1"), End::Released, report(), &mut b.trace),
+        "it does not stand"
+    );
+    b.stood("a", "d1", 1).at(500);
+    assert!(!b.edge.over(at(&b), LinkId(9), &id("d1"), End::Cut, report(), &mut b.trace));
+    assert!(b.edge.over(at(&b), link, &id("d1"), End::Cut, report(), &mut b.trace));
+    assert!(b.trace().ends_with("to 100: d1 over: Cut\n"), "{}", b.trace());
+    assert_eq!((b.edge.sizes().0, b.edge.traces()), (0, 0));
+}
+
+#[test]
+fn a_dialogue_that_stands_already_is_held_without_an_answer() {
+    let mut b = vouched();
+    let link = b.link_to("a");
+    b.edge.admitted(ms(0), link, &mut b.trace);
+    let there = |b: &mut Bench, name: &str, server: &str| {
+        let server = ServerId(Arc::from(server));
+        b.edge.stands_there(ms(b.trace.now), LinkId(100), &dial(name, 0, 1000), &server, &mut b.trace)
+    };
+    assert!(there(&mut b, "d1", "a") && there(&mut b, "d1", "a"));
+    assert!(!there(&mut b, "d2", "z"), "no such server is known");
+    assert_eq!((b.trace(), b.edge.sizes().0, b.edge.held_on(link)), ("", 1, 1));
+    b.hangs_up(100, "d1");
+    assert!(b.trace().contains("release d1"), "{}", b.trace());
+    b.edge.over(ms(b.trace.now), link, &id("d1"), End::Released, LoadReport::default(), &mut b.trace);
+    assert_eq!((b.edge.sizes().0, b.edge.traces()), (0, 0));
+    // With its server lost it is cut like any other.
+    assert!(there(&mut b, "d3", "a"));
+    b.loses(link);
+    assert!(b.trace().ends_with("to 100: d3 over: Cut\n"), "{}", b.trace());
+}
--- a/crates/platform/src/cores.rs
+++ b/crates/platform/src/cores.rs
@@ -30,6 +30,8 @@
     pub again: Duration,
     /// Connections in a row that did not come up in time.
     pub late: u32,
+    /// The last connection that was begun did not come up.
+    pub failed: bool,
     pub gone: bool,
     /// The report that came last by itself: on several connections it comes several times.
     pub report: (Duration, String),
@@ -53,6 +55,7 @@
             begun: now,
             again: now,
             late: 0,
+            failed: false,
             gone: false,
             report: (Duration::ZERO, String::new()),
         })
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -345,6 +345,11 @@
         if free || life.sockets.len() >= self.bounds.per_core || self.cores.len() >= self.bounds.cores {
             return best;
         }
+        // Where the last connect did not come up and none is up, the next one is tried in its own time: a launch that
+        // waited for it would lose the time in which it can go elsewhere.
+        if best.is_none_or(|best| !self.cores[&best].up) && life.failed {
+            return None;
+        }
         let begun = self.begin(net, link);
         best.or(begun)
     }
--- a/crates/platform/src/sessions.rs
+++ b/crates/platform/src/sessions.rs
@@ -225,7 +225,7 @@
             self.desk.overs.push_back(LaunchOver { link, tag, launch, outcome: Outcome::Unreachable });
         }
         if let Some(life) = self.desk.lives.get_mut(&link) {
-            (life.sign, life.late) = (now, 0);
+            (life.sign, life.late, life.failed) = (now, 0, false);
             for tag in std::mem::take(&mut life.releases) {
                 self.desk.finish(net, socket, tag);
             }
@@ -606,7 +606,7 @@
         let Some(life) = self.desk.lives.get_mut(&link) else { return };
         life.sockets.retain(|other| *other != socket);
         if !core.up {
-            life.again = now + AGAIN;
+            (life.again, life.failed) = (now + AGAIN, true);
             if !refused {
                 life.late += 1;
             }
--- /dev/null
+++ b/crates/platform/tests/sessions.rs
@@ -0,0 +1,619 @@
+//! The platform's edge proxy in virtual time: each stage of a dialogue, and what may befall its connections there.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use lotussaddle_platform::codec::{Binary, Cutter, Form, Tag, binary, cause, code, kind};
+use lotussaddle_platform::{Config, EPOCH, Ending, Net, Platform, SocketId};
+
+const CONFIG: &str = r#"{"name":"n0","listen":"127.0.0.1:1","seed":"8c1f30d27a5be964","feed":"127.0.0.9:1",
+    "limits":{"cores":1.0,"memory_mb":32,"sockets":256},
+    "known":{"n":1,"events":[{"n":1,"members":{"seq":0,"whole":true,"hosts":[
+        {"host":"a","dial":"127.0.1.1:1","block":0,"health":"Ready","born_ms":0},
+        {"host":"b","dial":"127.0.1.2:1","block":1,"health":"Ready","born_ms":0}]}}]},
+    "settings":{"categories":[{"name":"voice","promiseMs":400.0,"hardLimitMs":3000.0,"worth":1.0,"lateShare":0.25}],
+        "domain":{"classCells":[[0,1]],"classHoldMs":[1900.0],"releaseGuardMs":150.0,"resendMs":125.0,"widths":[1]},
+        "instances":3,"tickMs":1.0,"rules":{"coldFrom":0.35,"rampTimeMs":15000.0,"tipMultiple":2.5},
+        "limits":{"attemptsCap":6,"cancel":true,"retryAfter":true,"maxRetryAfterMs":2000.0,"connectTimeoutMs":200.0}}}"#;
+
+const FEED: SocketId = SocketId(3);
+
+#[derive(Default)]
+struct FakeNet {
+    next: u64,
+    connects: Vec<(SocketId, SocketAddr)>,
+    sent: BTreeMap<SocketId, Vec<u8>>,
+    /// Where each connection from here leads.
+    at: BTreeMap<SocketId, String>,
+    closed: BTreeMap<SocketId, Ending>,
+    log: Vec<String>,
+}
+
+impl Net for FakeNet {
+    fn connect(&mut self, address: SocketAddr) -> Option<SocketId> {
+        self.next += 1;
+        self.connects.push((SocketId(self.next), address));
+        self.at.insert(SocketId(self.next), address.ip().to_string());
+        Some(SocketId(self.next))
+    }
+
+    fn send(&mut self, socket: SocketId, bytes: &[u8]) -> bool {
+        assert!(!self.closed.contains_key(&socket), "nothing is said on a closed connection");
+        self.sent.entry(socket).or_default().extend(bytes);
+        true
+    }
+
+    fn close(&mut self, socket: SocketId, how: Ending) {
+        self.closed.insert(socket, how);
+    }
+
+    fn log(&mut self, line: &str) {
+        self.log.push(line.into());
+    }
+}
+
+struct World {
+    now: Duration,
+    net: FakeNet,
+    platform: Platform,
+    /// What core servers were sent and has not been looked at.
+    cutters: BTreeMap<SocketId, Cutter>,
+}
+
+type Heard = (SocketId, u8, Tag, Vec<(u8, Vec<u8>)>);
+
+impl World {
+    fn new() -> Self {
+        let config = Config::read(CONFIG).unwrap();
+        let mut net = FakeNet::default();
+        let mut platform = Platform::new(EPOCH, 1e12, config);
+        platform.begin(EPOCH, &mut net);
+        let mut world = Self { now: EPOCH, net, platform, cutters: BTreeMap::new() };
+        assert_eq!(world.net.connects.last().unwrap().0, FEED);
+        world.up(FEED);
+        world.connect_all();
+        world
+    }
+
+    /// Lets time go by, alarms as they come due.
+    fn wait(&mut self, ms: u64) {
+        let until = self.now + Duration::from_millis(ms);
+        while self.platform.next_due() <= until {
+            self.now = self.now.max(self.platform.next_due());
+            self.platform.alarm(self.now, &mut self.net);
+        }
+        self.now = until;
+    }
+
+    fn up(&mut self, socket: SocketId) {
+        self.platform.up(self.now, socket, &mut self.net);
+    }
+
+    /// All connections to core servers that were begun come up.
+    fn connect_all(&mut self) {
+        for (socket, _) in std::mem::take(&mut self.net.connects) {
+            if socket != FEED && !self.net.closed.contains_key(&socket) {
+                self.up(socket);
+            }
+        }
+    }
+
+    fn lose(&mut self, socket: SocketId, refused: bool) {
+        self.net.closed.insert(socket, Ending::Now);
+        self.platform.lost(self.now, socket, refused, "test", &mut self.net);
+    }
+
+    /// Connections to an address that are not closed, oldest first.
+    fn open_to(&self, ip: &str) -> Vec<SocketId> {
+        let known =
+            self.net.at.iter().filter(|(socket, at)| *at == ip && !self.net.closed.contains_key(socket));
+        known.map(|(socket, _)| *socket).collect()
+    }
+
+    fn caller(&mut self) -> SocketId {
+        self.net.next += 1;
+        let socket = SocketId(self.net.next);
+        self.platform.accepted(self.now, socket, &mut self.net);
+        socket
+    }
+
+    fn say(&mut self, socket: SocketId, line: &str) {
+        self.platform.read(self.now, socket, format!("{line}\n").as_bytes(), &mut self.net);
+    }
+
+    fn start(&mut self, socket: SocketId, tag: u64, extras: &str) {
+        let line = format!(
+            r#"{{"verb":"START","tag":"{tag:016x}","opts":{{"class":"voice","left":"2000","key":"k{tag}","extras":"{extras}"}},"blob":"in {tag}\r\n"}}"#
+        );
+        self.say(socket, &line);
+    }
+
+    /// What callers were told on a connection since this was last asked.
+    fn told(&mut self, socket: SocketId) -> String {
+        String::from_utf8(self.net.sent.remove(&socket).unwrap_or_default()).unwrap()
+    }
+
+    /// What core servers were sent since this was last asked.
+    fn heard(&mut self) -> Vec<Heard> {
+        let mut heard = Vec::new();
+        for (socket, bytes) in std::mem::take(&mut self.net.sent) {
+            if bytes.starts_with(b"{") || bytes.starts_with(b"SUB") {
+                self.net.sent.insert(socket, bytes);
+                continue;
+            }
+            let cutter = self.cutters.entry(socket).or_insert_with(|| Cutter::new(Form::Binary));
+            cutter.take(&bytes);
+            while let Some(message) = cutter.message().unwrap() {
+                let message = Binary::read(message).unwrap();
+                let parameters =
+                    message.parameters.iter().map(|(code, value)| (*code, value.to_vec())).collect();
+                heard.push((socket, message.kind, message.tag, parameters));
+            }
+        }
+        heard
+    }
+
+    /// The one set-up that was sent, and its connection.
+    fn set_up(&mut self) -> SocketId {
+        let heard = self.heard();
+        assert_eq!(heard.len(), 1, "{heard:?}");
+        assert_eq!(heard[0].1, kind::START);
+        heard[0].0
+    }
+
+    fn core_says(&mut self, socket: SocketId, kind: u8, tag: u64, parameters: &[(u8, &[u8])]) {
+        let mut bytes = Vec::new();
+        assert!(binary(kind, Tag(tag), parameters, &mut bytes));
+        self.platform.read(self.now, socket, &bytes, &mut self.net);
+    }
+
+    fn stands(&mut self, socket: SocketId, tag: u64) {
+        self.core_says(socket, kind::STARTED, tag, &[(code::DESCRIPTION, b"out\r\n\"x\"")]);
+    }
+
+    fn ends(&mut self, socket: SocketId, tag: u64, cause: u8) {
+        self.core_says(socket, kind::FINISH, tag, &[(code::CAUSE, &[cause])]);
+    }
+
+    /// A call that stands: its caller's connection and its core server's.
+    fn standing(&mut self, tag: u64) -> (SocketId, SocketId) {
+        let caller = self.caller();
+        self.start(caller, tag, "dest:0;width:1;via:-1");
+        let core = self.set_up();
+        self.stands(core, tag);
+        assert!(self.told(caller).contains("STARTED"));
+        (caller, core)
+    }
+
+    fn nothing_is_kept(&mut self) {
+        assert_eq!(self.platform.sizes().0, 0);
+        assert_eq!(self.platform.traces(), (0, 0, 0));
+    }
+
+    fn feed(&mut self, n: u64, hosts: &str) {
+        let line = format!(r#"{{"n":{n},"members":{{"seq":{n},"whole":false,"hosts":[{hosts}]}}}}"#);
+        self.say(FEED, &line);
+    }
+}
+
+fn finish(tag: u64, cause: u8) -> String {
+    format!("{{\"verb\":\"FINISH\",\"tag\":\"{tag:016x}\",\"opts\":{{}},\"rc\":{cause}}}\n")
+}
+
+#[test]
+fn a_call_goes_through_unchanged_and_is_released() {
+    let mut w = World::new();
+    let caller = w.caller();
+    w.start(caller, 5, "dest:1;width:1;via:-1");
+    let heard = w.heard();
+    let [(core, kind::START, Tag(5), parameters)] = &heard[..] else { panic!("{heard:?}") };
+    let expected: [(u8, &[u8]); 4] = [
+        (code::CLASS, b"voice"),
+        (code::LEFT, b"2000"),
+        (code::KEY, b"k5"),
+        (code::DESCRIPTION, b"in 5\r\n"),
+    ];
+    assert_eq!(parameters.iter().map(|(c, v)| (*c, &v[..])).collect::<Vec<_>>(), expected);
+    w.stands(*core, 5);
+    let answer =
+        "{\"verb\":\"STARTED\",\"tag\":\"0000000000000005\",\"opts\":{},\"blob\":\"out\\r\\n\\\"x\\\"\"}\n";
+    assert_eq!(w.told(caller), answer);
+    w.wait(1000);
+    w.ends(*core, 5, cause::NORMAL);
+    assert_eq!(w.told(caller), finish(5, cause::NORMAL));
+    assert_eq!(w.heard(), []);
+    w.nothing_is_kept();
+}
+
+#[test]
+fn what_the_module_gives_up_is_refused_at_once_with_a_time_to_stay_away() {
+    let mut w = World::new();
+    let caller = w.caller();
+    w.start(caller, 5, "dest:0");
+    for _ in 0..2 {
+        let heard = w.heard();
+        let Some((core, kind::START, ..)) = heard.last() else { panic!("{heard:?}") };
+        w.core_says(*core, kind::FINISH, 5, &[(code::CAUSE, &[cause::FULL]), (code::NOTE, b"atb")]);
+        w.wait(1);
+    }
+    let refused =
+        "{\"verb\":\"FINISH\",\"tag\":\"0000000000000005\",\"opts\":{\"wait\":\"2000\"},\"rc\":34}\n";
+    assert_eq!(w.told(caller), refused);
+    w.nothing_is_kept();
+}
+
+#[test]
+fn ends_of_launches_are_told_apart() {
+    // Refused and moot may go on at once; what may have run rests for the release; a busy number is refused.
+    let after = |cause: u8, note: &[u8]| {
+        let mut w = World::new();
+        let caller = w.caller();
+        w.start(caller, 5, "dest:0");
+        let core = w.set_up();
+        w.core_says(core, kind::FINISH, 5, &[(code::CAUSE, &[cause]), (code::NOTE, note)]);
+        w.wait(5);
+        let at_once = w.heard().len();
+        let told = w.told(caller);
+        w.wait(200);
+        (at_once, w.heard().len(), !told.is_empty())
+    };
+    assert_eq!(after(cause::FULL, b"atb"), (1, 0, false));
+    assert_eq!(after(cause::FULL, b"acc"), (1, 0, false));
+    assert_eq!(after(cause::MOOT, b""), (1, 0, false));
+    assert_eq!(after(cause::ERROR, b""), (1, 0, false));
+    assert_eq!(after(cause::BUSY, b"sub"), (0, 0, true));
+    assert_eq!(after(cause::RESET, b""), (0, 1, false));
+    assert_eq!(after(99, b""), (0, 1, false));
+}
+
+#[test]
+fn a_caller_that_goes_gives_up_its_set_ups_and_no_call_that_stands() {
+    let mut w = World::new();
+    let (caller, core) = w.standing(5);
+    w.start(caller, 6, "dest:0");
+    w.start(caller, 7, "dest:0");
+    let six = w.heard().iter().find(|h| h.2 == Tag(6)).unwrap().0;
+    w.lose(caller, false);
+    let given_up: Vec<_> = w.heard().into_iter().map(|h| (h.1, h.2, h.3)).collect();
+    let finish = |tag| (kind::FINISH, Tag(tag), vec![(code::CAUSE, vec![cause::NORMAL])]);
+    assert!(given_up.contains(&finish(6)) && !given_up.contains(&finish(5)), "{given_up:?}");
+    // An answer that crossed is released, and nobody is told of it.
+    w.stands(six, 6);
+    assert_eq!(w.heard().len(), 1);
+    let (other, _) = w.standing(8);
+    w.ends(core, 5, cause::NORMAL);
+    assert_eq!(w.told(other), self::finish(5, cause::NORMAL));
+}
+
+#[test]
+fn a_release_without_a_connection_waits_for_the_next() {
+    let mut w = World::new();
+    let (caller, core) = w.standing(5);
+    w.lose(caller, false);
+    w.ends(core, 5, cause::NORMAL);
+    w.wait(200);
+    // One that has not been answered anything is taken only when time gets short.
+    let other = w.caller();
+    w.wait(100);
+    assert_eq!(w.told(other), "");
+    w.wait(400);
+    assert_eq!(w.told(other), finish(5, cause::NORMAL));
+    w.nothing_is_kept();
+}
+
+#[test]
+fn a_caller_ends_a_standing_call_on_any_connection_and_a_set_up_on_its_own() {
+    let mut w = World::new();
+    let (caller, core) = w.standing(5);
+    let other = w.caller();
+    w.say(other, &finish(5, cause::NORMAL));
+    let released = w.heard();
+    assert_eq!((released[0].0, released[0].1, released[0].2), (core, kind::FINISH, Tag(5)));
+    assert!(w.told(other).contains("FINISHED") && w.told(caller).is_empty());
+    w.core_says(core, kind::FINISHED, 5, &[]);
+    w.nothing_is_kept();
+    w.start(caller, 6, "dest:0");
+    w.set_up();
+    w.say(other, &finish(6, cause::NORMAL));
+    assert!(w.net.closed.contains_key(&other) && w.platform.sizes().0 == 1);
+    w.say(caller, &finish(6, cause::NORMAL));
+    assert_eq!(w.heard()[0].1, kind::FINISH);
+    w.nothing_is_kept();
+}
+
+#[test]
+fn a_lost_connection_breaks_off_its_set_ups_for_the_release() {
+    let mut w = World::new();
+    let (caller, core) = w.standing(5);
+    w.start(caller, 6, "dest:0");
+    let bears = w.set_up();
+    w.lose(bears, false);
+    w.wait(140);
+    w.connect_all();
+    assert_eq!(w.heard(), [], "it rests for the release");
+    w.wait(20);
+    let again = w.set_up();
+    w.stands(again, 6);
+    assert!(w.told(caller).contains("STARTED"));
+    // The call that stood before stands on, and its end is taken once, on whichever connection.
+    let last = *w.open_to("127.0.1.1").last().unwrap();
+    assert!(last != core && last != again);
+    w.ends(last, 5, cause::NORMAL);
+    w.ends(last, 5, cause::NORMAL);
+    assert_eq!(w.told(caller), finish(5, cause::NORMAL));
+}
+
+#[test]
+fn a_process_that_died_cuts_its_calls() {
+    let mut w = World::new();
+    let (caller, core) = w.standing(5);
+    let all = w.open_to("127.0.1.1");
+    w.lose(core, false);
+    w.wait(300);
+    assert_eq!(w.told(caller), "", "a connection that ends proves nothing");
+    for socket in all {
+        if socket != core {
+            w.lose(socket, false);
+        }
+    }
+    for _ in 0..20 {
+        w.wait(50);
+        for (socket, address) in std::mem::take(&mut w.net.connects) {
+            if address.ip().to_string() == "127.0.1.1" {
+                w.lose(socket, true);
+            } else {
+                w.up(socket);
+            }
+        }
+    }
+    assert_eq!(w.told(caller), finish(5, cause::RESET));
+    w.nothing_is_kept();
+}
+
+#[test]
+fn a_machine_that_vanished_cuts_its_calls_in_time_and_one_that_is_only_quiet_does_not() {
+    for vanished in [true, false] {
+        let mut w = World::new();
+        let (caller, _) = w.standing(5);
+        let mut told = String::new();
+        for _ in 0..75 {
+            w.wait(100);
+            w.say(FEED, "1");
+            let connects = std::mem::take(&mut w.net.connects);
+            for (socket, address) in connects {
+                if !(vanished && address.ip().to_string() == "127.0.1.1") {
+                    w.up(socket);
+                }
+            }
+            if w.net.closed.contains_key(&caller) {
+                told += &w.told(caller);
+            }
+        }
+        // Its own connection was idle and is closed; the next one is told.
+        let other = w.caller();
+        w.wait(700);
+        told += &w.told(other);
+        assert_eq!(told, if vanished { finish(5, cause::RESET) } else { String::new() });
+    }
+}
+
+#[test]
+fn a_connection_that_does_not_come_up_is_out_of_reach() {
+    let mut w = World::new();
+    let caller = w.caller();
+    for socket in w.open_to("127.0.1.1") {
+        w.lose(socket, false);
+    }
+    w.net.connects.clear();
+    w.start(caller, 6, "dest:0");
+    assert_eq!(w.heard(), []);
+    w.wait(260);
+    // It goes to the other one without waiting for the release: it never ran.
+    let other = w.set_up();
+    assert_eq!(w.net.at[&other], "127.0.1.2");
+    w.stands(other, 6);
+    // What comes while the last connect failed goes elsewhere at once: nobody waits for a connect again.
+    w.start(caller, 7, "dest:0");
+    let other = w.set_up();
+    assert_eq!(w.net.at[&other], "127.0.1.2");
+}
+
+#[test]
+fn spoilt_answers_end_their_connection_and_are_never_passed_on() {
+    let spoilt: [&[u8]; 6] = [
+        &[0xff, 0xff, 9],
+        &[0, 3, 9, 0, 0],
+        &[0, 12, 9, 0, 0, 0, 0, 0, 0, 0, 6, 210, 9, 9],
+        &[0, 9, 9, 0, 0, 0, 0, 0, 0, 0, 6],
+        &[0, 9, 77, 0, 0, 0, 0, 0, 0, 0, 6],
+        &[0, 13, 9, 0, 0, 0, 0, 0, 0, 0, 6, 210, 0, 1, 0xff],
+    ];
+    for bytes in spoilt {
+        let mut w = World::new();
+        let (caller, _) = w.standing(5);
+        w.start(caller, 6, "dest:0");
+        let core = w.set_up();
+        w.platform.read(w.now, core, bytes, &mut w.net);
+        assert!(w.net.closed.contains_key(&core), "{bytes:?}");
+        w.wait(100);
+        assert_eq!(w.told(caller), "", "{bytes:?}");
+        assert_eq!(w.platform.sizes().0, 2, "the standing call stands on");
+    }
+}
+
+#[test]
+fn second_copies_and_answers_unheard_of_are_passed_over() {
+    let mut w = World::new();
+    let caller = w.caller();
+    w.start(caller, 5, "dest:0");
+    let core = w.set_up();
+    w.stands(core, 99);
+    w.stands(core, 5);
+    w.stands(core, 5);
+    w.ends(core, 98, cause::NORMAL);
+    assert_eq!(w.told(caller).matches("STARTED").count(), 1);
+    assert_eq!(w.heard(), []);
+    assert!(!w.net.closed.contains_key(&core));
+    w.ends(core, 5, cause::NORMAL);
+    w.nothing_is_kept();
+}
+
+#[test]
+fn a_call_that_stands_already_is_held_until_its_end() {
+    let mut w = World::new();
+    let caller = w.caller();
+    w.start(caller, 5, "dest:0;at:a");
+    w.start(caller, 5, "dest:0;at:a");
+    w.start(caller, 6, "dest:0;at:nowhere");
+    assert_eq!(w.heard(), []);
+    assert_eq!(w.told(caller), finish(6, cause::RESET));
+    assert_eq!(w.platform.sizes().0, 1);
+    // Either connection to its server tells its end; one that was told before the caller was is not awaited.
+    w.ends(SocketId(1), 7, cause::NORMAL);
+    w.start(caller, 7, "dest:0;at:a");
+    w.ends(SocketId(1), 5, cause::NORMAL);
+    assert_eq!(w.told(caller), finish(7, cause::NORMAL) + &finish(5, cause::NORMAL));
+    w.nothing_is_kept();
+}
+
+#[test]
+fn bad_callers_are_refused_or_closed_and_nothing_of_theirs_goes_on() {
+    let start = |class: &str, extras: &str| {
+        format!(
+            r#"{{"verb":"START","tag":"0000000000000007","opts":{{"class":"{class}","left":"900","extras":"{extras}"}},"blob":"x"}}"#
+        )
+    };
+    let bad = [
+        "{".into(),
+        "x".repeat(20_000),
+        start("no such", "dest:0"),
+        start("voice", "dest:7"),
+        start("voice", "dest:0;width:3"),
+        start("voice", "dest:x"),
+        finish(1, 16).trim().into(),
+    ];
+    for line in bad {
+        let mut w = World::new();
+        let caller = w.caller();
+        w.say(caller, &line);
+        let told = w.told(caller);
+        assert!(told.contains("\"rc\":95") || w.net.closed.contains_key(&caller), "{line}: {told}");
+        assert!(!told.contains("STARTED") && w.heard().is_empty(), "{line}");
+        w.wait(3000);
+        assert!(w.net.closed.contains_key(&caller), "{line}");
+        w.nothing_is_kept();
+    }
+}
+
+#[test]
+fn a_call_that_is_in_already_ends_the_connection_that_brings_it_again() {
+    let mut w = World::new();
+    let (caller, bad) = (w.caller(), w.caller());
+    w.start(caller, 5, "dest:0");
+    let core = w.set_up();
+    w.start(bad, 5, "dest:0");
+    assert_eq!((w.told(bad), w.net.closed.get(&bad)), (String::new(), Some(&Ending::Told)));
+    w.stands(core, 5);
+    assert!(w.told(caller).contains("STARTED"));
+    w.start(caller, 6, "dest:0");
+    w.set_up();
+    w.start(caller, 6, "dest:0");
+    assert!(w.net.closed.contains_key(&caller));
+    assert_eq!(w.heard()[0].1, kind::FINISH);
+    w.ends(core, 5, cause::NORMAL);
+}
+
+#[test]
+fn connections_are_bounded_and_those_with_an_open_set_up_stay() {
+    let mut w = World::new();
+    let caller = w.caller();
+    w.start(caller, 5, "dest:0");
+    let silent: Vec<SocketId> = (0..400).map(|_| w.caller()).collect();
+    assert!(w.platform.sizes().1 <= 128);
+    assert!(!w.net.closed.contains_key(&caller) && w.net.closed.contains_key(&silent[0]));
+    assert!(!w.net.closed.contains_key(silent.last().unwrap()));
+    w.wait(2000);
+    assert!(silent.iter().all(|socket| w.net.closed.contains_key(socket)));
+}
+
+#[test]
+fn descriptions_held_are_bounded() {
+    let mut w = World::new();
+    let caller = w.caller();
+    let blob = "x".repeat(15_000);
+    for tag in 0..1000 {
+        let line = format!(
+            r#"{{"verb":"START","tag":"{tag:016x}","opts":{{"class":"voice","left":"900","extras":"dest:0"}},"blob":"{blob}"}}"#
+        );
+        w.say(caller, &line);
+    }
+    assert!(w.platform.traces().2 <= 2 << 20);
+    assert!(w.told(caller).contains("\"rc\":42"));
+    w.lose(caller, false);
+    w.nothing_is_kept();
+}
+
+#[test]
+fn a_new_life_at_the_address_of_one_gone_is_another_server() {
+    let mut w = World::new();
+    let (caller, core) = w.standing(5);
+    w.feed(2, r#"{"host":"c","dial":"127.0.1.1:1","block":0,"health":"Ready","born_ms":1000000000500}"#);
+    assert!(w.net.closed.contains_key(&core), "no byte of the old one counts");
+    assert_eq!(w.told(caller), finish(5, cause::RESET));
+    w.connect_all();
+    w.nothing_is_kept();
+}
+
+#[test]
+fn nothing_new_goes_to_a_server_that_drains_and_its_calls_stand_on() {
+    let mut w = World::new();
+    let (caller, core) = w.standing(5);
+    w.feed(2, r#"{"host":"a","dial":"127.0.1.1:1","block":0,"health":"Terminating","born_ms":0}"#);
+    w.start(caller, 6, "dest:0");
+    let other = w.set_up();
+    assert_ne!(other, core);
+    w.ends(core, 5, cause::NORMAL);
+    assert_eq!(w.told(caller), finish(5, cause::NORMAL));
+}
+
+#[test]
+fn the_feed_is_asked_again_when_it_is_silent_torn_or_moved() {
+    let mut w = World::new();
+    assert_eq!(w.told(FEED), "SUB 1\n");
+    w.feed(2, "");
+    w.wait(2000);
+    assert!(w.net.closed.contains_key(&FEED));
+    let at =
+        |w: &World| w.net.connects.iter().rev().find(|(_, a)| a.ip().to_string() == "127.0.0.9").unwrap().0;
+    let second = at(&w);
+    w.up(second);
+    assert_eq!(w.told(second), "SUB 2\n");
+    w.say(second, "9");
+    assert!(w.net.closed.contains_key(&second), "an event is missing");
+    w.platform.feed_moved(w.now, "127.0.0.10:1".parse().unwrap(), &mut w.net);
+    let third = w.net.connects.last().unwrap().0;
+    w.up(third);
+    assert_eq!(w.told(third), "SUB 2\n");
+}
+
+#[test]
+fn told_to_end_it_answers_what_it_took_and_fails_the_test() {
+    let mut w = World::new();
+    let echo = r#"{"verb":"ECHO","tag":"00000000000000aa","opts":{},"rc":0}"#;
+    let (caller, _) = w.standing(5);
+    w.say(caller, echo);
+    assert!(w.told(caller).contains("\"rc\":1"));
+    w.platform.end(w.now, &mut w.net);
+    w.say(caller, echo);
+    assert!(w.told(caller).contains("\"rc\":0"));
+    w.wait(300);
+    let late = w.caller();
+    w.start(late, 6, "dest:0");
+    let core = w.set_up();
+    w.wait(600);
+    assert!(w.platform.shut(w.now) && !w.platform.ended(w.now), "one is not answered");
+    w.stands(core, 6);
+    assert!(w.told(late).contains("STARTED"));
+    assert!(w.platform.ended(w.now));
+}
