--- a/crates/platform/src/sessions.rs
+++ b/crates/platform/src/sessions.rs
@@ -36,6 +36,10 @@
 const AGAIN: Duration = Duration::from_millis(250);
 /// After the word to end: no connection is taken any more; and the earliest end.
 const LAST_TAKEN: Duration = Duration::from_millis(750);
+/// The kill comes no sooner than the longest cut-off, counted as this where it is longer, and 0.7 s more after the word
+/// to end. Until shortly before it the ends of standing calls are passed on: while nobody is here, nobody does.
+const LONGEST_COUNTED: Duration = Duration::from_secs(3);
+const RELAYED: Duration = Duration::from_millis(400);
 
 /// The end of a dialogue that is not held, remembered for a set-up that says that it stands.
 type Ends = (HashMap<Tag, u8>, VecDeque<Tag>);
@@ -55,6 +59,8 @@
     ends: Ends,
     ready: bool,
     ending_since: Option<Duration>,
+    /// How long after the word to end standing calls are waited for.
+    relayed_for: Duration,
     sweep_at: Duration,
 }
 
@@ -62,6 +68,7 @@
     /// `unix_ms` is the Unix clock at `now`.
     pub fn new(now: Duration, unix_ms: f64, config: Config) -> Self {
         let Config { bounds, classes, plan, .. } = config;
+        let longest = plan.products.iter().map(|p| p.patience).max().unwrap_or_default();
         let edge = Edge::new(&config.name, "", plan, config.seed, bounds.edge.clone());
         let by_name = classes.iter().enumerate().map(|(place, name)| (name.clone(), place as u16)).collect();
         Self {
@@ -78,6 +85,7 @@
             ends: Ends::default(),
             ready: false,
             ending_since: None,
+            relayed_for: longest.min(LONGEST_COUNTED) + RELAYED,
             sweep_at: now,
         }
     }
@@ -164,7 +172,9 @@
 
     /// It was to end, and owes nothing any more.
     pub fn ended(&self, now: Duration) -> bool {
-        self.shut(now + SWEEP) && self.shut(now) && self.open() == 0 && self.desk.untold.is_empty()
+        let relayed = self.ending_since.is_some_and(|since| now >= since + self.relayed_for);
+        let quiet = self.edge.sizes().0 == 0 && self.desk.untold.is_empty();
+        self.shut(now) && self.open() == 0 && (quiet || relayed)
     }
 
     fn open(&self) -> usize {
@@ -464,11 +474,10 @@
 
     fn sweep_callers(&mut self, net: &mut dyn Net) {
         let now = self.desk.now;
-        let shut = self.shut(now);
         let doomed = self.desk.callers.iter().filter(|(_, c)| {
             let stuck = c.cutter.pending() > 0 && now >= c.used.max(c.since) + SAY_WITHIN;
             let idle = if c.good { now >= c.used + IDLE } else { now >= c.since + SAY_WITHIN };
-            stuck || c.open.is_empty() && (idle || shut)
+            stuck || c.open.is_empty() && idle
         });
         let doomed: Vec<SocketId> = doomed.map(|(socket, _)| *socket).collect();
         for socket in doomed {
--- a/crates/platform/tests/sessions.rs
+++ b/crates/platform/tests/sessions.rs
@@ -601,7 +601,7 @@
 fn told_to_end_it_answers_what_it_took_and_fails_the_test() {
     let mut w = World::new();
     let echo = r#"{"verb":"ECHO","tag":"00000000000000aa","opts":{},"rc":0}"#;
-    let (caller, _) = w.standing(5);
+    let (caller, stands) = w.standing(5);
     w.say(caller, echo);
     assert!(w.told(caller).contains("\"rc\":1"));
     w.platform.end(w.now, &mut w.net);
@@ -615,5 +615,22 @@
     assert!(w.platform.shut(w.now) && !w.platform.ended(w.now), "one is not answered");
     w.stands(core, 6);
     assert!(w.told(late).contains("STARTED"));
+    // What stands is relayed on, for as long as there is time.
+    assert!(!w.platform.ended(w.now));
+    w.ends(stands, 5, cause::NORMAL);
+    assert!(!w.platform.ended(w.now));
+    w.wait(2000);
+    assert!(!w.platform.ended(w.now));
+    w.wait(700);
+    assert!(w.platform.ended(w.now));
+}
+
+#[test]
+fn told_to_end_with_nothing_held_it_does_not_stay() {
+    let mut w = World::new();
+    w.platform.end(w.now, &mut w.net);
+    w.wait(700);
+    assert!(!w.platform.ended(w.now), "set-ups may still come");
+    w.wait(100);
     assert!(w.platform.ended(w.now));
 }
