A report told again on a new connection is no news; idle connections to core servers close

Seen: in captured reports a new connection begins with the report that was told last on the others, up to a second old, and the module took it as newer than what it had placed since (sessions.rs, load). Now it counts only if it says something else. Connections that carry nothing are closed at nine tenths of the settings' idle time, so that no set-up crosses the other side's close. A release whose callers have no connection waits longer for one that was answered on.

--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -45,6 +45,8 @@
     pub dests: BTreeSet<i64>,
     /// How long a connection to a core server may take to come up.
     pub connect_within: Duration,
+    /// When a connection that carries nothing is closed.
+    pub idle_after: Duration,
 }
 
 /// Each bound follows from the limits; `docs/operators/platform.md` says what happens beyond it.
@@ -136,12 +138,18 @@
 struct ConnectLimits {
     #[serde(default = "half_a_second")]
     connect_timeout_ms: f64,
+    #[serde(default = "ten_minutes")]
+    conn_idle_ms: f64,
 }
 
 fn half_a_second() -> f64 {
     500.0
 }
 
+fn ten_minutes() -> f64 {
+    600_000.0
+}
+
 fn address(field: &str, text: &str) -> Result<SocketAddr, ConfigError> {
     text.parse().map_err(|_| ConfigError(format!("{field}: {text:?} is no address and port")))
 }
@@ -167,8 +175,11 @@
         let plan = route_plan(&settings).map_err(|e| ConfigError(format!("settings: {e:#}")))?;
         let names: Names =
             serde_json::from_value(sheet.settings).map_err(|e| ConfigError(format!("settings: {e}")))?;
-        let within = lotussaddle_settings::millis("connectTimeoutMs", names.limits.connect_timeout_ms)
-            .map_err(|e| ConfigError(format!("settings: {e:#}")))?;
+        let time = |name, ms| {
+            lotussaddle_settings::millis(name, ms).map_err(|e| ConfigError(format!("settings: {e:#}")))
+        };
+        let within = time("connectTimeoutMs", names.limits.connect_timeout_ms)?;
+        let idle = time("connIdleMs", names.limits.conn_idle_ms)?;
         Ok(Self {
             listen: address("listen", &sheet.listen)?,
             feed: address("feed", &sheet.feed)?,
@@ -181,6 +192,7 @@
             widths: names.domain.widths,
             dests: names.domain.class_cells.into_iter().flatten().collect(),
             connect_within: within.clamp(Duration::from_millis(50), Duration::from_secs(5)),
+            idle_after: idle.max(Duration::from_millis(500)),
         })
     }
 }
--- a/crates/platform/src/cores.rs
+++ b/crates/platform/src/cores.rs
@@ -68,6 +68,8 @@
     pub up: bool,
     pub since: Duration,
     pub heard: Duration,
+    /// It has told a report: the first of a connection is the one told last on the others.
+    pub told: bool,
     /// When a set-up last went out on it.
     pub used: Duration,
     pub cutter: Cutter,
@@ -84,6 +86,7 @@
             up: false,
             since: now,
             heard: now,
+            told: false,
             used: now,
             cutter: Cutter::new(Form::Binary),
             open: BTreeMap::new(),
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -52,6 +52,7 @@
     pub now: Duration,
     pub bounds: Bounds,
     pub connect_within: Duration,
+    pub idle_after: Duration,
     pub classes: Vec<String>,
     pub callers: HashMap<SocketId, Caller>,
     pub cores: HashMap<SocketId, Core>,
@@ -79,17 +80,20 @@
     Tag::read(&dialogue.0).unwrap_or(Tag(0)) // Every dialogue here was named by `name`.
 }
 
-/// How long a release waits for a connection that callers have used before any is taken.
+/// How long a release waits for a connection that was answered on, and for one that has said something of use: others
+/// may be nobody's who knows the call.
 const PICKY: Duration = Duration::from_millis(600);
+const LESS_PICKY: Duration = Duration::from_millis(850);
 /// A release that no connection could take for so long is dropped: it would no longer be in time.
 const UNTOLD_FOR: Duration = Duration::from_secs(10);
 
 impl Desk {
-    pub fn new(bounds: Bounds, connect_within: Duration, classes: Vec<String>) -> Self {
+    pub fn new(bounds: Bounds, connect_within: Duration, idle_after: Duration, classes: Vec<String>) -> Self {
         Self {
             now: Duration::ZERO,
             bounds,
             connect_within,
+            idle_after,
             classes,
             callers: HashMap::new(),
             cores: HashMap::new(),
@@ -147,10 +151,10 @@
         &mut self, net: &mut dyn Net, tag: Tag, cause: u8, own: Option<SocketId>, since: Duration,
     ) {
         let own = own.filter(|own| self.callers.contains_key(own) && !self.broken.contains(own));
-        let picky = self.now < since + PICKY;
+        let waited = self.now.saturating_sub(since);
         let used = || {
-            let callers =
-                self.callers.iter().filter(|(id, c)| !self.broken.contains(id) && (!picky || c.served));
+            let fits = |c: &Caller| c.served || c.good && waited >= PICKY || waited >= LESS_PICKY;
+            let callers = self.callers.iter().filter(|(id, c)| !self.broken.contains(id) && fits(c));
             callers.max_by_key(|(_, c)| (c.served, c.good, c.used)).map(|(id, _)| *id)
         };
         if let Some(socket) = own.or_else(used)
--- a/crates/platform/src/sessions.rs
+++ b/crates/platform/src/sessions.rs
@@ -34,6 +34,8 @@
 const GONE_AFTER: Duration = Duration::from_millis(1500);
 /// Between connections to a life that no launch asks for.
 const AGAIN: Duration = Duration::from_millis(250);
+/// A report comes on all connections within so long.
+const COPIES_WITHIN: Duration = Duration::from_millis(60);
 /// After the word to end: no connection is taken any more; and the earliest end.
 const LAST_TAKEN: Duration = Duration::from_millis(750);
 /// The kill comes no sooner than the longest cut-off, counted as this where it is longer, and 0.7 s more after the word
@@ -73,7 +75,7 @@
         let by_name = classes.iter().enumerate().map(|(place, name)| (name.clone(), place as u16)).collect();
         Self {
             edge,
-            desk: Desk::new(bounds, config.connect_within, classes),
+            desk: Desk::new(bounds, config.connect_within, config.idle_after, classes),
             feed: Feed::new(config.known.n),
             feed_at: config.feed,
             feed_socket: None,
@@ -503,7 +505,7 @@
                 Ok(())
             }
             kind::LOAD => {
-                self.load(link, message.text(code::LOAD)?, report, net);
+                self.load(socket, link, message.text(code::LOAD)?, report, net);
                 Ok(())
             }
             kind::ECHO => {
@@ -590,11 +592,14 @@
         }
     }
 
-    /// A report that comes by itself comes on several connections at once, and counts once.
-    fn load(&mut self, link: LinkId, text: &str, report: LoadReport, net: &mut dyn Net) {
+    /// A report that comes by itself comes on several connections at once, and on a new one the last is told again: it
+    /// counts once, since the module takes each as newer than all that it placed before.
+    fn load(&mut self, socket: SocketId, link: LinkId, text: &str, report: LoadReport, net: &mut dyn Net) {
         let now = self.desk.now;
+        let first =
+            self.desk.cores.get_mut(&socket).is_some_and(|core| !std::mem::replace(&mut core.told, true));
         let Some(life) = self.desk.lives.get_mut(&link) else { return };
-        if life.report.1 == text && now < life.report.0 + Duration::from_millis(60) {
+        if life.report.1 == text && (first || now < life.report.0 + COPIES_WITHIN) {
             return;
         }
         life.report = (now, text.to_owned());
@@ -648,6 +653,16 @@
             self.core_lost(socket, false, "did not come up in time", net);
             self.settle(net);
         }
+        // Closed a little before the other side does: no set-up is to cross that.
+        let idle = |core: &crate::cores::Core| {
+            core.up && core.open.is_empty() && now >= core.used + self.desk.idle_after.mul_f64(0.9)
+        };
+        let idle: Vec<SocketId> =
+            self.desk.cores.iter().filter(|(_, c)| idle(c)).map(|(id, _)| *id).collect();
+        for socket in idle {
+            net.close(socket, Ending::Now);
+            self.core_lost(socket, false, "idle", net);
+        }
         let links: Vec<LinkId> = self.desk.lives.keys().copied().collect();
         for link in links {
             let held = self.edge.held_on(link);
