Tests of the platform's sessions that could not fail: four sharpened

Not seen: the end of a quiet life without a look at it, releases that wait for a core server, a set-up given up from another connection, no wait for a second late connect; now each has its test. Left: the edge drops a description once its dialogue stands, which only memory shows.

--- a/crates/platform/tests/sessions.rs
+++ b/crates/platform/tests/sessions.rs
@@ -15,7 +15,7 @@
     "settings":{"categories":[{"name":"voice","promiseMs":400.0,"hardLimitMs":3000.0,"worth":1.0,"lateShare":0.25}],
         "domain":{"classCells":[[0,1]],"classHoldMs":[1900.0],"releaseGuardMs":150.0,"resendMs":125.0,"widths":[1]},
         "instances":3,"tickMs":1.0,"rules":{"coldFrom":0.35,"rampTimeMs":15000.0,"tipMultiple":2.5},
-        "limits":{"attemptsCap":6,"cancel":true,"retryAfter":true,"maxRetryAfterMs":2000.0,"connectTimeoutMs":200.0,"connIdleMs":10000.0}}}"#;
+        "limits":{"attemptsCap":6,"cancel":true,"retryAfter":true,"maxRetryAfterMs":2000.0,"connectTimeoutMs":100.0,"connIdleMs":10000.0}}}"#;
 
 const FEED: SocketId = SocketId(3);
 
@@ -27,11 +27,16 @@
     /// Where each connection from here leads.
     at: BTreeMap<SocketId, String>,
     closed: BTreeMap<SocketId, Ending>,
+    /// No descriptor is free.
+    used_up: bool,
     log: Vec<String>,
 }
 
 impl Net for FakeNet {
     fn connect(&mut self, address: SocketAddr) -> Option<SocketId> {
+        if self.used_up {
+            return None;
+        }
         self.next += 1;
         self.connects.push((SocketId(self.next), address));
         self.at.insert(SocketId(self.next), address.ip().to_string());
@@ -99,6 +104,14 @@
         }
     }
 
+    /// Lets time go by while connections come up.
+    fn wait_connecting(&mut self, ms: u64) {
+        for _ in 0..ms / 50 {
+            self.wait(50);
+            self.connect_all();
+        }
+    }
+
     fn lose(&mut self, socket: SocketId, refused: bool) {
         self.net.closed.insert(socket, Ending::Now);
         self.platform.lost(self.now, socket, refused, "test", &mut self.net);
@@ -119,6 +132,7 @@
     }
 
     fn say(&mut self, socket: SocketId, line: &str) {
+        let line = line.trim_end();
         self.platform.read(self.now, socket, format!("{line}\n").as_bytes(), &mut self.net);
     }
 
@@ -331,8 +345,8 @@
     w.start(caller, 6, "dest:0");
     let bears = w.set_up();
     w.lose(bears, false);
-    w.wait(140);
-    w.connect_all();
+    w.wait_connecting(100);
+    w.wait(40);
     assert_eq!(w.heard(), [], "it rests for the release");
     w.wait(20);
     let again = w.set_up();
@@ -400,6 +414,29 @@
     }
 }
 
+#[test]
+fn without_a_descriptor_to_look_with_a_quiet_life_is_not_over() {
+    let mut w = World::new();
+    let (caller, _) = w.standing(5);
+    w.net.used_up = true;
+    w.wait(9000);
+    assert!(!w.told(caller).contains("FINISH") && w.platform.sizes().0 == 1);
+}
+
+#[test]
+fn a_release_waits_for_a_connection_to_its_core_server() {
+    let mut w = World::new();
+    let (caller, _) = w.standing(5);
+    for socket in w.open_to("127.0.1.1") {
+        w.lose(socket, false);
+    }
+    w.say(caller, finish(5, cause::NORMAL).trim());
+    assert_eq!(w.heard(), []);
+    w.wait_connecting(300);
+    let released: Vec<_> = w.heard().into_iter().map(|h| (h.1, h.2)).collect();
+    assert_eq!(released, [(kind::FINISH, Tag(5))]);
+}
+
 #[test]
 fn a_connection_that_does_not_come_up_is_out_of_reach() {
     let mut w = World::new();
@@ -410,7 +447,7 @@
     w.net.connects.clear();
     w.start(caller, 6, "dest:0");
     assert_eq!(w.heard(), []);
-    w.wait(260);
+    w.wait(160);
     // It goes to the other one without waiting for the release: it never ran.
     let other = w.set_up();
     assert_eq!(w.net.at[&other], "127.0.1.2");
@@ -491,12 +528,9 @@
 fn idle_connections_to_core_servers_are_closed_and_made_anew() {
     let mut w = World::new();
     let before = w.open_to("127.0.1.1");
-    for _ in 0..10 {
-        w.wait(100);
-        w.connect_all();
-    }
+    w.wait_connecting(500);
     assert!(w.open_to("127.0.1.1").len() >= 2, "two are kept");
-    w.wait(8500);
+    w.wait_connecting(9500);
     assert!(before.iter().all(|socket| w.net.closed.contains_key(socket)));
     assert!(!w.open_to("127.0.1.1").is_empty());
 }
