--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -261,6 +261,8 @@
 impl Served {
     /// Ends it; gives its log.
     fn end(mut self) -> String {
+        // The log is written by a thread of its own, and what it has not written at the end is lost.
+        std::thread::sleep(Duration::from_millis(500));
         drop(self.child.stdin.take());
         let deadline = Instant::now() + Duration::from_secs(20);
         while self.child.try_wait().unwrap().is_none() {
