--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -188,7 +188,7 @@
     ) {
         let tag = tag(&launch.dialogue);
         let over = LaunchOver { link, tag, launch: launch.launch, outcome: Outcome::Unreachable };
-        let Some(socket) = self.socket_for(net, link) else { return self.overs.push_back(over) };
+        let Some(socket) = self.socket_for(net, link, Some(tag)) else { return self.overs.push_back(over) };
         let until = self.now + launch.time_left;
         let left = (launch.time_left.as_millis() as u64).max(1).to_string();
         let class = self.classes.get(usize::from(launch.product)).cloned().unwrap_or_default();
@@ -308,7 +308,7 @@
             self.desk.list = Some(link);
         } else if let Some(life) = Life::at(address, self.desk.now) {
             self.desk.lives.insert(link, life);
-            self.desk.socket_for(self.net, link);
+            self.desk.socket_for(self.net, link, None);
         }
         link
     }
@@ -340,11 +340,15 @@
     }
 
     /// The connection for the next launch to a life: the one with the fewest set-ups open, and another is begun where
-    /// none is free; one that spoils an answer takes along what else is open on it.
-    pub fn socket_for(&mut self, net: &mut dyn Net, link: LinkId) -> Option<SocketId> {
+    /// none is free; one that spoils an answer takes along what else is open on it. Where the same call was called off
+    /// before, another connection is better: a late answer to the former launch would pass for the new one's.
+    pub fn socket_for(&mut self, net: &mut dyn Net, link: LinkId, tag: Option<Tag>) -> Option<SocketId> {
         let life = self.lives.get(&link)?;
         let known = life.sockets.iter().filter_map(|id| Some((*id, self.cores.get(id)?)));
-        let best = known.min_by_key(|(_, core)| (!core.up, core.open.len(), std::cmp::Reverse(core.heard)));
+        let best = known.min_by_key(|(_, core)| {
+            let doubtful = tag.is_some_and(|tag| core.was_called_off(tag));
+            (!core.up, doubtful, core.open.len(), std::cmp::Reverse(core.heard))
+        });
         let (best, free) = (best.map(|(id, _)| id), best.is_some_and(|(_, core)| core.open.is_empty()));
         if free || life.sockets.len() >= self.bounds.per_core || self.cores.len() >= self.bounds.cores {
             return best;
--- a/crates/platform/tests/sessions.rs
+++ b/crates/platform/tests/sessions.rs
@@ -423,6 +423,34 @@
     assert!(!w.told(caller).contains("FINISH") && w.platform.sizes().0 == 1);
 }
 
+#[test]
+fn a_late_answer_to_a_launch_called_off_does_not_pass_for_the_next_ones() {
+    let mut w = World::new();
+    w.feed(2, r#"{"host":"b","dial":"127.0.1.2:1","block":1,"health":"Gone"}"#);
+    w.wait_connecting(100);
+    let caller = w.caller();
+    w.start(caller, 5, "dest:0");
+    let first = w.set_up();
+    w.wait(5);
+    w.start(caller, 6, "dest:0");
+    let overtakes = w.set_up();
+    w.wait(10);
+    w.stands(overtakes, 6);
+    w.told(caller);
+    w.wait(100);
+    let called_off: Vec<_> = w.heard().into_iter().map(|h| (h.0, h.1, h.2)).collect();
+    assert_eq!(called_off, [(first, kind::FINISH, Tag(5))]);
+    // It was heard last and bears nothing, so that it would be the best for any other.
+    w.core_says(first, kind::PENDING, 5, &[]);
+    w.wait(100);
+    let second = w.set_up();
+    assert_ne!(second, first);
+    w.stands(first, 5);
+    assert_eq!((w.told(caller), w.heard()), (String::new(), vec![]));
+    w.stands(second, 5);
+    assert!(w.told(caller).contains("STARTED"));
+}
+
 #[test]
 fn a_release_waits_for_a_connection_to_its_core_server() {
     let mut w = World::new();
