Last read: a connection that makes room is closed once its last answer is written

Seen in review: under pressure an idle connection that had been of use was closed at once, and what was still queued for it was lost (sessions.rs, make_room). It is now ended as others are, written first. Test broken once, seen.

--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -110,9 +110,7 @@
             if read > 0 {
                 let now = clock();
                 platform.read(now, socket, &buffer[..read], &mut sockets);
-                if platform.next_due() <= now {
-                    alarm(&mut platform, &mut sockets, now);
-                }
+                alarm(&mut platform, &mut sockets, now);
             }
             losses(&mut platform, &mut sockets, clock());
         }
--- a/crates/platform/src/sessions.rs
+++ b/crates/platform/src/sessions.rs
@@ -207,9 +207,10 @@
     /// none on which a set-up is open.
     fn make_room(&mut self, net: &mut dyn Net) -> bool {
         let idle = self.desk.callers.iter().filter(|(_, c)| c.open.is_empty());
-        let least = idle.min_by_key(|(id, c)| (c.good, c.used, **id)).map(|(id, _)| *id);
-        least.is_some_and(|socket| {
-            self.drop_caller(socket, Ending::Now, net);
+        let least = idle.min_by_key(|(id, c)| (c.good, c.used, **id)).map(|(id, c)| (*id, c.good));
+        least.is_some_and(|(socket, good)| {
+            // The last answer on one that was of use may not be written yet.
+            self.drop_caller(socket, if good { Ending::Told } else { Ending::Now }, net);
             true
         })
     }
--- a/crates/platform/tests/sessions.rs
+++ b/crates/platform/tests/sessions.rs
@@ -641,6 +641,14 @@
     assert!(silent.iter().all(|socket| w.net.closed.contains_key(socket)));
 }
 
+#[test]
+fn a_connection_that_makes_room_after_an_answer_is_closed_only_when_that_is_written() {
+    let mut w = World::new();
+    let callers: Vec<SocketId> = (0..128).map(|n| w.standing(1000 + n).0).collect();
+    w.caller();
+    assert_eq!(w.net.closed.get(&callers[0]), Some(&Ending::Told));
+}
+
 #[test]
 fn descriptions_held_are_bounded() {
     let mut w = World::new();
