--- a/review/standin.rs
+++ b/review/standin.rs
@@ -6,6 +6,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -33,6 +34,8 @@
 /// No script runs for longer; then it could not run.
 const WATCHDOG: Duration = Duration::from_secs(110);
 
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
 const SIGSTOP: i32 = 19;
 const SIGCONT: i32 = 18;
 const SOL_SOCKET: i32 = 1;
@@ -41,6 +44,7 @@
 extern "C" {
     fn listen(fd: i32, backlog: i32) -> i32;
     fn kill(process: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const [i32; 2], length: u32) -> i32;
 }
 
@@ -555,7 +559,7 @@
 
 fn host(core: &Core, health: &str, born_ms: u64) -> String {
     format!(
-        r#"{{"host":"{}","dial":"{}","site":"capital","class":"single-core","block":{},"health":"{health}","share":1,"born_ms":{born_ms}}}"#,
+        r#"{{"host":"{}","dial":"{}","site":"east","class":"std","block":{},"health":"{health}","share":1,"born_ms":{born_ms}}}"#,
         core.name, core.at, core.number
     )
 }
@@ -699,7 +703,8 @@
     /// Starts one edge proxy by the deploy file.
     fn start(cores: &[Arc<Core>], feed: &Feed, settings: &str) -> Option<Self> {
         let deploy = std::fs::read_to_string("deploy/balancer.toml").ok()?;
-        let run = deploy.lines().find_map(|line| line.strip_prefix("run = \""))?.split('"').next()?.to_owned();
+        let run =
+            deploy.lines().find_map(|line| line.strip_prefix("run = \""))?.split('"').next()?.to_owned();
         let at = TcpListener::bind("127.0.0.1:0").ok()?.local_addr().ok()?;
         let unique = SystemTime::now().duration_since(UNIX_EPOCH).ok()?.as_nanos();
         let folder = std::env::temp_dir().join(format!("review-{}-{unique}", std::process::id()));
@@ -713,7 +718,8 @@
         );
         std::fs::write(folder.join("config.json"), config).ok()?;
         let log = File::create(folder.join("log")).ok()?;
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        command
             .args(["-c", &run])
             .env("RELAY_NAME", "n0")
             .env("RELAY_LISTEN", at.to_string())
@@ -721,9 +727,15 @@
             .env("TMPDIR", folder.join("tmp"))
             .stdin(Stdio::null())
             .stdout(log.try_clone().ok()?)
-            .stderr(log)
-            .spawn()
-            .ok()?;
+            .stderr(log);
+        // It ends with the case, however the case ends.
+        unsafe {
+            command.pre_exec(|| match prctl(PR_SET_PDEATHSIG, SIGKILL) {
+                0 => Ok(()),
+                _ => Err(std::io::Error::last_os_error()),
+            });
+        }
+        let child = command.spawn().ok()?;
         let child = Arc::new(Mutex::new(child));
         let watched = child.clone();
         thread::spawn(move || {
@@ -856,7 +868,9 @@
             ));
         }
     }
-    world.record.say(format!("{judged} calls that stood and ended were judged, {broken} left standing too long"));
+    world
+        .record
+        .say(format!("{judged} calls that stood and ended were judged, {broken} left standing too long"));
     match (judged, broken) {
         (0, _) => Verdict::Unable,
         (_, 0) => Verdict::Held,
@@ -866,9 +880,11 @@
 
 /// One answer stops short; its connection stays open.
 fn stop_short(record: Arc<Record>, trouble: bool) -> Verdict {
-    let Some(world) = World::new(record, CHAT_CAPITAL, "stock-query", Duration::ZERO) else { return Verdict::Unable };
+    let Some(world) = World::new(record, CHAT_CAPITAL, "stock-query", Duration::ZERO) else {
+        return Verdict::Unable;
+    };
     pause(1000); // Connections come up.
-    // Calls that stand for about as long as the settings say.
+                 // Calls that stand for about as long as the settings say.
     for _ in 0..6 {
         world.dial(0, 9000);
         world.dial(1, 9000);
@@ -946,12 +962,18 @@
         ));
         return Verdict::Broken;
     }
-    if world.feed.calls.load(Ordering::SeqCst) == 0 { Verdict::Unable } else { Verdict::Held }
+    if world.feed.calls.load(Ordering::SeqCst) == 0 {
+        Verdict::Unable
+    } else {
+        Verdict::Held
+    }
 }
 
 /// A machine is lost for 5 s and returns cold; the list tells of its start 4.3 s after that.
 fn lost_zone(record: Arc<Record>, trouble: bool) -> Verdict {
-    let Some(world) = World::new(record, CHAT_CAPITAL, "stock-query", Duration::ZERO) else { return Verdict::Unable };
+    let Some(world) = World::new(record, CHAT_CAPITAL, "stock-query", Duration::ZERO) else {
+        return Verdict::Unable;
+    };
     pause(1000);
     let mut long = Vec::new();
     for _ in 0..6 {
@@ -1038,7 +1060,9 @@
             ));
         }
     }
-    world.record.say(format!("{judged} releases to the caller were judged, {broken} of calls that still stood"));
+    world
+        .record
+        .say(format!("{judged} releases to the caller were judged, {broken} of calls that still stood"));
     match (judged, broken) {
         (0, _) => Verdict::Unable,
         (_, 0) => Verdict::Held,
@@ -1112,7 +1136,11 @@
         ));
         return Verdict::Broken;
     }
-    if before == 0 { Verdict::Unable } else { Verdict::Held }
+    if before == 0 {
+        Verdict::Unable
+    } else {
+        Verdict::Held
+    }
 }
 
 fn main() {
@@ -1122,14 +1150,15 @@
     let Ok(file) = File::create(Path::new(folder).join("record.txt")) else { std::process::exit(2) };
     let record = Arc::new(Record { file: Mutex::new(file), began: Instant::now() });
     record.say(format!("case {case}, disruption {}", if trouble { "on" } else { "off" }));
-    let verdict = match case.as_str() {
+    let run = || match case.as_str() {
         "stop-short" => stop_short(record.clone(), trouble),
-        "slow-feed" => slow_feed(record.clone(), trouble),
         "restart" => restart(record.clone(), trouble),
         "stall" => stall(record.clone(), trouble),
+        "slow-feed" => slow_feed(record.clone(), trouble),
         "lost-zone" => lost_zone(record.clone(), trouble),
         _ => Verdict::Unable,
     };
+    let verdict = std::panic::catch_unwind(std::panic::AssertUnwindSafe(run)).unwrap_or(Verdict::Unable);
     let (word, code) = match verdict {
         Verdict::Held => ("the rule held", 0),
         Verdict::Broken => ("the rule was broken", 1),
