--- a/review/standin.rs
+++ b/review/standin.rs
@@ -461,12 +461,24 @@
         cut.len()
     }
 
-    /// A new process listens at the address.
+    /// Closes the connections, on which no set-up is open, and takes none for some time. Its calls stand.
+    fn close_idle(&self, ms: u64) -> bool {
+        self.state.lock().unwrap().listener = None;
+        let connections = self.state.lock().unwrap().connections.clone();
+        for connection in &connections {
+            let _ = connection.stream.shutdown(Shutdown::Both);
+        }
+        self.say(format!("TROUBLE: {} idle connections closed, no other taken", connections.len()));
+        pause(ms);
+        self.start_again()
+    }
+
+    /// Listens again at its address.
     fn start_again(&self) -> bool {
         let Ok(listener) = TcpListener::bind(self.at) else { return false };
         listener.set_nonblocking(true).unwrap();
         self.state.lock().unwrap().listener = Some(listener);
-        self.say("a new process listens".to_owned());
+        self.say("connections are taken again".to_owned());
         true
     }
 }
@@ -878,6 +890,38 @@
     }
 }
 
+/// PROTOCOL.md: "a release after the answer | the call is over". A caller that has its answer and then a release is told
+/// so. Was it?
+fn judge_over(world: &World) -> Verdict {
+    let (mut judged, mut broken) = (0, 0);
+    for core in &world.cores {
+        let state = core.state.lock().unwrap();
+        for (tag, _) in &state.stood {
+            let heard = world.caller.heard(*tag);
+            let (Some(_), Some((at, cause))) = (heard.stands, heard.ended) else { continue };
+            judged += 1;
+            if state.ended.get(tag).is_some_and(|end| end.at <= at) {
+                continue;
+            }
+            broken += 1;
+            let end = state.ended.get(tag).map(|end| end.at - at);
+            world.record.say(format!(
+                "BROKEN: {tag:016x} stood at {} when its caller was told that it is over, cause {cause}; there it went on for {} more",
+                core.name,
+                end.map_or("all the time".to_owned(), |ms| format!("{ms} ms"))
+            ));
+        }
+    }
+    world
+        .record
+        .say(format!("{judged} releases to the caller were judged, {broken} of calls that still stood"));
+    match (judged, broken) {
+        (0, _) => Verdict::Unable,
+        (_, 0) => Verdict::Held,
+        _ => Verdict::Broken,
+    }
+}
+
 /// One answer stops short; its connection stays open.
 fn stop_short(record: Arc<Record>, trouble: bool) -> Verdict {
     let Some(world) = World::new(record, CHAT_CAPITAL, "stock-query", Duration::ZERO) else {
@@ -1040,34 +1084,31 @@
         return Verdict::Broken;
     }
     world.edge.copy_log(&world.record, &["closed", "feed event", "set aside", "back:", "ended", "released"]);
-    // A caller that has its answer and then a release is told that the call is over. Was it?
-    let (mut judged, mut broken) = (0, 0);
-    for core in &world.cores {
-        let state = core.state.lock().unwrap();
-        for (tag, _) in &state.stood {
-            let heard = world.caller.heard(*tag);
-            let (Some(_), Some((at, cause))) = (heard.stands, heard.ended) else { continue };
-            judged += 1;
-            if state.ended.get(tag).is_some_and(|end| end.at <= at) {
-                continue;
-            }
-            broken += 1;
-            let end = state.ended.get(tag).map(|end| end.at - at);
-            world.record.say(format!(
-                "BROKEN: {tag:016x} stood at {} when its caller was told that it is over, cause {cause}; there it went on for {} more",
-                core.name,
-                end.map_or("all the time".to_owned(), |ms| format!("{ms} ms"))
-            ));
-        }
+    judge_over(&world)
+}
+
+/// A core server closes its idle connections and for 1 s takes no new one: others have those that it takes.
+fn full(record: Arc<Record>, trouble: bool) -> Verdict {
+    let Some(world) = World::new(record, CHAT_CAPITAL, "stock-query", Duration::ZERO) else {
+        return Verdict::Unable;
+    };
+    pause(1000);
+    for _ in 0..6 {
+        world.dial(0, 9000);
+        world.dial(1, 9000);
+        pause(150);
     }
-    world
-        .record
-        .say(format!("{judged} releases to the caller were judged, {broken} of calls that still stood"));
-    match (judged, broken) {
-        (0, _) => Verdict::Unable,
-        (_, 0) => Verdict::Held,
-        _ => Verdict::Broken,
+    pause(500);
+    if trouble && !world.cores[0].close_idle(1000) {
+        return Verdict::Unable;
+    }
+    pause(10_000);
+    if !world.edge.runs() {
+        world.record.say("BROKEN: the edge proxy has ended".to_owned());
+        return Verdict::Broken;
     }
+    world.edge.copy_log(&world.record, &["ended", "closed with"]);
+    judge_over(&world)
 }
 
 /// The edge proxy stands still for 1.9 s; meanwhile the feed tells that a server drains.
@@ -1154,6 +1195,7 @@
         "stop-short" => stop_short(record.clone(), trouble),
         "restart" => restart(record.clone(), trouble),
         "stall" => stall(record.clone(), trouble),
+        "full" => full(record.clone(), trouble),
         "slow-feed" => slow_feed(record.clone(), trouble),
         "lost-zone" => lost_zone(record.clone(), trouble),
         _ => Verdict::Unable,
