--- a/review/standin.rs
+++ b/review/standin.rs
@@ -153,6 +153,8 @@
     /// The next answer on a connection that bears a standing call stops short.
     spoil_next: bool,
     spoilt: Option<(usize, u64)>,
+    /// So many of the next answers never arrive.
+    lose: u32,
     /// Set-ups that came whole: call, time.
     starts: Vec<(u64, u64)>,
     ended: BTreeMap<u64, Ended>,
@@ -354,6 +356,10 @@
                 "TROUBLE: answer {tag:016x} stops short on connection {}, which stays open",
                 connection.number
             ));
+        } else if state.lose > 0 {
+            state.lose -= 1;
+            drop(state);
+            self.say(format!("TROUBLE: answer {tag:016x} never arrives"));
         } else {
             connection.write(&bytes);
             drop(state);
@@ -1184,6 +1190,50 @@
     }
 }
 
+/// The edge proxy stands still for 1.9 s, and some answers to what came meanwhile are lost: an open entry, which needs two
+/// disruptions. Without the trouble the answers are lost, and the edge proxy does not stand still.
+fn late(record: Arc<Record>, trouble: bool) -> Verdict {
+    let settings = courier_dispatch();
+    let Some(world) = World::new(record, &settings, "job-lookup", Duration::ZERO) else {
+        return Verdict::Unable;
+    };
+    pause(1000);
+    for _ in 0..12 {
+        world.dial(0, 1500);
+        pause(100);
+        world.dial(1, 1500);
+        pause(100);
+    }
+    if trouble {
+        world.record.say("TROUBLE: the edge proxy stands still".to_owned());
+        world.edge.signal(SIGSTOP);
+    }
+    let dialled = world.record.now();
+    world.cores.iter().for_each(|core| core.state.lock().unwrap().lose = 100);
+    let tags: Vec<u64> = (0..8).map(|n| world.dial(n % 2, 1500)).collect();
+    pause(1900);
+    if trouble {
+        world.edge.signal(SIGCONT);
+        world.record.say("the edge proxy goes on".to_owned());
+    }
+    pause(5000);
+    let mut broken = 0;
+    for tag in tags {
+        let heard = world.caller.heard(tag);
+        let first = heard.stands.into_iter().chain(heard.ended.map(|(at, _)| at)).min();
+        let after = first.map_or(u64::MAX, |at| at - dialled);
+        world
+            .record
+            .say(format!("{tag:016x} got its final answer after {after} ms; its caller waits 3000 ms"));
+        broken += u64::from(after > 3000 + 500 + SLACK_MS);
+    }
+    if broken > 0 {
+        world.record.say(format!("BROKEN: {broken} final answers came more than 500 ms after their time"));
+        return Verdict::Broken;
+    }
+    Verdict::Held
+}
+
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, case, folder] = &arguments[..] else { std::process::exit(2) };
@@ -1196,6 +1246,7 @@
         "restart" => restart(record.clone(), trouble),
         "stall" => stall(record.clone(), trouble),
         "full" => full(record.clone(), trouble),
+        "late" => late(record.clone(), trouble),
         "slow-feed" => slow_feed(record.clone(), trouble),
         "lost-zone" => lost_zone(record.clone(), trouble),
         _ => Verdict::Unable,
