--- a/review/standin.rs
+++ b/review/standin.rs
@@ -599,7 +599,7 @@
     stream: TcpStream,
     class: &'static str,
     record: Arc<Record>,
-    heard: Mutex<BTreeMap<u64, Heard>>,
+    heard: Arc<Mutex<BTreeMap<u64, Heard>>>,
     tested: AtomicBool,
 }
 
@@ -610,7 +610,10 @@
 }
 
 impl Caller {
-    fn connect(at: SocketAddr, class: &'static str, record: &Arc<Record>) -> Option<Arc<Self>> {
+    /// Connects, with what it has heard before, and returns once the edge proxy has passed a test.
+    fn connect(
+        at: SocketAddr, class: &'static str, record: &Arc<Record>, heard: Arc<Mutex<BTreeMap<u64, Heard>>>,
+    ) -> Option<Arc<Self>> {
         let until = Instant::now() + Duration::from_secs(20);
         let stream = loop {
             match TcpStream::connect(at) {
@@ -620,13 +623,8 @@
             }
         };
         let _ = stream.set_nodelay(true);
-        let caller = Arc::new(Self {
-            stream,
-            class,
-            record: record.clone(),
-            heard: Mutex::default(),
-            tested: AtomicBool::new(false),
-        });
+        let caller =
+            Arc::new(Self { stream, class, record: record.clone(), heard, tested: AtomicBool::new(false) });
         let reading = caller.clone();
         thread::spawn(move || reading.read());
         caller.write(r#"{"verb":"ECHO","tag":"00000000000000ee","opts":{},"rc":0}"#);
@@ -685,6 +683,14 @@
         ));
     }
 
+    /// Names a call that stands at a core server to an edge proxy that may not know it.
+    fn name_standing(&self, tag: u64, at: &str) {
+        self.write(&format!(
+            r#"{{"verb":"START","tag":"{tag:016x}","opts":{{"class":"{}","left":"3000","extras":"dest:0;width:1;via:-1;at:{at}"}},"blob":"call {tag:016x}"}}"#,
+            self.class
+        ));
+    }
+
     fn heard(&self, tag: u64) -> Heard {
         self.heard.lock().unwrap().get(&tag).copied().unwrap_or_default()
     }
@@ -720,10 +726,14 @@
 impl Edge {
     /// Starts one edge proxy by the deploy file.
     fn start(cores: &[Arc<Core>], feed: &Feed, settings: &str) -> Option<Self> {
+        let at = TcpListener::bind("127.0.0.1:0").ok()?.local_addr().ok()?;
+        Self::start_at(at, cores, feed, settings)
+    }
+
+    fn start_at(at: SocketAddr, cores: &[Arc<Core>], feed: &Feed, settings: &str) -> Option<Self> {
         let deploy = std::fs::read_to_string("deploy/balancer.toml").ok()?;
         let run =
             deploy.lines().find_map(|line| line.strip_prefix("run = \""))?.split('"').next()?.to_owned();
-        let at = TcpListener::bind("127.0.0.1:0").ok()?.local_addr().ok()?;
         let unique = SystemTime::now().duration_since(UNIX_EPOCH).ok()?.as_nanos();
         let folder = std::env::temp_dir().join(format!("review-{}-{unique}", std::process::id()));
         std::fs::create_dir_all(folder.join("tmp")).ok()?;
@@ -845,7 +855,7 @@
         let hosts: Vec<String> = cores.iter().map(|core| host(core, "Ready", 0)).collect();
         let feed = Feed::start(&record, list_event(1, true, &hosts), turn);
         let edge = Edge::start(&cores, &feed, settings)?;
-        let caller = Caller::connect(edge.at, class, &record)?;
+        let caller = Caller::connect(edge.at, class, &record, Arc::default())?;
         record.say("the edge proxy is ready".to_owned());
         Some(Self { record, cores, feed, edge, caller, tags: Tags(AtomicU64::new(1)) })
     }
@@ -1234,6 +1244,64 @@
     Verdict::Held
 }
 
+/// The edge proxy is killed on its busiest day, and is back 6 s later; its caller names the calls that stand.
+fn away(record: Arc<Record>, trouble: bool) -> Verdict {
+    let Some(world) = World::new(record, CHAT_CAPITAL, "stock-query", Duration::ZERO) else {
+        return Verdict::Unable;
+    };
+    pause(1000);
+    let (began, mut tags) = (Instant::now(), Vec::new());
+    while began.elapsed() < Duration::from_secs(12) {
+        tags.push(world.dial(tags.len() % 2, 10_000));
+        let next = began + Duration::from_secs_f64(tags.len() as f64 / 190.0);
+        thread::sleep(next.saturating_duration_since(Instant::now()));
+    }
+    pause(100);
+    let World { record, cores, feed, edge, mut caller, .. } = world;
+    let at = edge.at;
+    let mut running = Some(edge);
+    if trouble {
+        record.say("TROUBLE: the edge proxy is killed".to_owned());
+        running = None;
+    }
+    pause(6000);
+    if trouble {
+        running = Edge::start_at(at, &cores, &feed, CHAT_CAPITAL);
+        let Some(again) = Caller::connect(at, "stock-query", &record, caller.heard.clone()) else {
+            return Verdict::Unable;
+        };
+        caller = again;
+        pause(200);
+        let stands = |tag: &&u64| {
+            let heard = caller.heard(**tag);
+            heard.stands.is_some() && heard.ended.is_none()
+        };
+        let named: Vec<u64> = tags.iter().filter(stands).copied().collect();
+        record.say(format!("the edge proxy is back; the caller names {} calls by `at`", named.len()));
+        for tag in named {
+            let at = cores.iter().find(|core| core.state.lock().unwrap().stood.contains_key(&tag));
+            caller.name_standing(tag, &at.expect("it stood").name);
+        }
+    }
+    pause(18_000);
+    if !running.as_ref().is_some_and(Edge::runs) {
+        return Verdict::Unable;
+    }
+    let ended = |tag: &u64| cores.iter().any(|core| core.state.lock().unwrap().ended.contains_key(tag));
+    let over: Vec<u64> =
+        tags.into_iter().filter(|tag| caller.heard(*tag).stands.is_some() && ended(tag)).collect();
+    let left = over.iter().filter(|tag| caller.heard(**tag).ended.is_none()).count();
+    record.say(format!(
+        "{} calls stood and are over; {left} of them were not released to their caller",
+        over.len()
+    ));
+    if left > 0 {
+        record.say(format!("BROKEN: {left} calls are left standing, more than 8 s after their end"));
+        return Verdict::Broken;
+    }
+    Verdict::Held
+}
+
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, case, folder] = &arguments[..] else { std::process::exit(2) };
@@ -1246,6 +1314,7 @@
         "restart" => restart(record.clone(), trouble),
         "stall" => stall(record.clone(), trouble),
         "full" => full(record.clone(), trouble),
+        "away" => away(record.clone(), trouble),
         "late" => late(record.clone(), trouble),
         "slow-feed" => slow_feed(record.clone(), trouble),
         "lost-zone" => lost_zone(record.clone(), trouble),
