--- a/review/standin.rs
+++ b/review/standin.rs
@@ -854,8 +854,14 @@
 }
 
 impl World {
-    fn new(record: Arc<Record>, settings: &str, class: &'static str, turn: Duration) -> Option<Self> {
-        let cores = vec![Core::start("s-00000001", 0, &record), Core::start("s-00000002", 1, &record)];
+    fn new(
+        record: Arc<Record>, settings: &str, class: &'static str, servers: usize, turn: Duration,
+    ) -> Option<Self> {
+        let cores: Vec<_> =
+            (0..servers).map(|n| Core::start(&format!("s-0000000{}", n + 1), n, &record)).collect();
+        // Any server takes any class.
+        let cells: Vec<String> = (0..servers).map(|n| n.to_string()).collect();
+        let settings = &settings.replace("[0,1]", &format!("[{}]", cells.join(",")));
         let hosts: Vec<String> = cores.iter().map(|core| host(core, "Ready", 0)).collect();
         let feed = Feed::start(&record, list_event(1, true, &hosts), turn);
         let edge = Edge::start(&cores, &feed, settings)?;
@@ -950,7 +956,7 @@
 
 /// One answer stops short; its connection stays open.
 fn stop_short(record: Arc<Record>, trouble: bool) -> Verdict {
-    let Some(world) = World::new(record, CHAT_CAPITAL, "stock-query", Duration::ZERO) else {
+    let Some(world) = World::new(record, CHAT_CAPITAL, "stock-query", 2, Duration::ZERO) else {
         return Verdict::Unable;
     };
     pause(1000); // Connections come up.
@@ -988,7 +994,9 @@
 /// Each call at the control feed waits 1.9 s for its turn.
 fn slow_feed(record: Arc<Record>, trouble: bool) -> Verdict {
     let turn = if trouble { Duration::from_millis(1900) } else { Duration::ZERO };
-    let Some(world) = World::new(record, CHAT_CAPITAL, "stock-query", turn) else { return Verdict::Unable };
+    let Some(world) = World::new(record, CHAT_CAPITAL, "stock-query", 2, turn) else {
+        return Verdict::Unable;
+    };
     pause(1000);
     let traffic = || {
         world.dial(0, 1500);
@@ -1041,7 +1049,7 @@
 
 /// A machine is lost for 5 s and returns cold; the list tells of its start 4.3 s after that.
 fn lost_zone(record: Arc<Record>, trouble: bool) -> Verdict {
-    let Some(world) = World::new(record, CHAT_CAPITAL, "stock-query", Duration::ZERO) else {
+    let Some(world) = World::new(record, CHAT_CAPITAL, "stock-query", 2, Duration::ZERO) else {
         return Verdict::Unable;
     };
     pause(1000);
@@ -1075,17 +1083,17 @@
 
 /// A core server's process dies and is started again; the list tells of the new start 2.5 s later.
 fn restart(record: Arc<Record>, trouble: bool) -> Verdict {
-    let Some(world) = World::new(record, CHAT_CAPITAL, "stock-query", Duration::ZERO) else {
+    let Some(world) = World::new(record, CHAT_CAPITAL, "stock-query", 3, Duration::ZERO) else {
         return Verdict::Unable;
     };
     pause(1000);
     let traffic = |ms: u64| {
         let until = world.record.now() + ms;
         while world.record.now() < until {
-            world.dial(0, 12_000);
-            pause(125);
-            world.dial(1, 12_000);
-            pause(125);
+            for server in 0..3 {
+                world.dial(server, 12_000);
+                pause(70);
+            }
         }
     };
     traffic(4000);
@@ -1115,7 +1123,7 @@
 
 /// A core server closes its idle connections and for 1 s takes no new one: others have those that it takes.
 fn full(record: Arc<Record>, trouble: bool) -> Verdict {
-    let Some(world) = World::new(record, CHAT_CAPITAL, "stock-query", Duration::ZERO) else {
+    let Some(world) = World::new(record, CHAT_CAPITAL, "stock-query", 2, Duration::ZERO) else {
         return Verdict::Unable;
     };
     pause(1000);
@@ -1140,17 +1148,17 @@
 /// The edge proxy stands still for 1.9 s; meanwhile the feed tells that a server drains.
 fn stall(record: Arc<Record>, trouble: bool) -> Verdict {
     let settings = courier_dispatch();
-    let Some(world) = World::new(record, &settings, "job-lookup", Duration::ZERO) else {
+    let Some(world) = World::new(record, &settings, "job-lookup", 4, Duration::ZERO) else {
         return Verdict::Unable;
     };
     pause(1000);
     let traffic = |ms: u64| {
         let until = world.record.now() + ms;
         while world.record.now() < until {
-            world.dial(0, 9000);
-            pause(100);
-            world.dial(1, 9000);
-            pause(100);
+            for server in 0..4 {
+                world.dial(server, 9000);
+                pause(50);
+            }
         }
     };
     traffic(3000);
@@ -1214,7 +1222,7 @@
 /// disruptions. Without the trouble the answers are lost, and the edge proxy does not stand still.
 fn late(record: Arc<Record>, trouble: bool) -> Verdict {
     let settings = courier_dispatch();
-    let Some(world) = World::new(record, &settings, "job-lookup", Duration::ZERO) else {
+    let Some(world) = World::new(record, &settings, "job-lookup", 2, Duration::ZERO) else {
         return Verdict::Unable;
     };
     pause(1000);
@@ -1256,7 +1264,7 @@
 
 /// The edge proxy is killed on its busiest day, and is back 6 s later; its caller names the calls that stand.
 fn away(record: Arc<Record>, trouble: bool) -> Verdict {
-    let Some(world) = World::new(record, CHAT_CAPITAL, "stock-query", Duration::ZERO) else {
+    let Some(world) = World::new(record, CHAT_CAPITAL, "stock-query", 2, Duration::ZERO) else {
         return Verdict::Unable;
     };
     pause(1000);
