--- a/crates/platform/src/sessions.rs
+++ b/crates/platform/src/sessions.rs
@@ -1,6 +1,7 @@
 //! The inputs of the platform's edge proxy, each translated directly into calls on the edge.
 
 mod callers;
+mod core_connections;
 mod core_servers;
 mod feed_events;
 mod shutdown;
@@ -12,7 +13,7 @@
 use lotussaddle::interface::*;
 use lotussaddle_edge::{Counts, Edge};
 
-use crate::codec::{BinaryMessage, Framing, MessageSplitter, Tag};
+use crate::codec::{Framing, MessageSplitter, Tag};
 use crate::config::Config;
 use crate::connections::{CALLERS, ConnectionTable, EndedLaunch, dialogue_id};
 use crate::feed::{Event, Feed};
@@ -218,34 +219,8 @@
             if let Some(caller) = self.connections.callers.get_mut(&socket) {
                 caller.splitter = splitter;
             }
-        } else if let Some(core) = self.connections.cores.get_mut(&socket) {
-            core.last_received = now;
-            let link = core.link;
-            let mut splitter = std::mem::replace(&mut core.splitter, MessageSplitter::new(Framing::Binary));
-            if let Some(incarnation) = self.connections.incarnations.get_mut(&link) {
-                incarnation.last_activity = now;
-            }
-            splitter.push(bytes);
-            loop {
-                let handled = match splitter.next_message() {
-                    Ok(None) => break,
-                    Ok(Some(message)) => BinaryMessage::parse(message)
-                        .and_then(|m| self.handle_core_message(socket, link, &m, net)),
-                    Err(reason) => Err(reason),
-                };
-                if let Err(reason) = handled {
-                    net.close(socket, CloseMode::Now);
-                    self.core_lost(socket, false, reason, net);
-                    break;
-                }
-                self.process_pending(net);
-                if !self.connections.cores.contains_key(&socket) {
-                    break;
-                }
-            }
-            if let Some(core) = self.connections.cores.get_mut(&socket) {
-                core.splitter = splitter;
-            }
+        } else {
+            self.core_bytes_received(socket, bytes, net);
         }
         self.process_pending(net);
     }
--- /dev/null
+++ b/crates/platform/src/sessions/core_connections.rs
@@ -0,0 +1,173 @@
+//! The connections to core servers: when one is opened or closed, and the detection of an incarnation's end.
+
+use std::time::Duration;
+
+use lotussaddle::interface::Outcome;
+use lotussaddle_edge::LinkId;
+
+use super::Platform;
+use crate::codec::Tag;
+use crate::connections::EndedLaunch;
+use crate::cores::CoreConnection;
+use crate::{CloseMode, Net, SocketId};
+
+/// Connections kept open to a listed core server.
+const MIN_CONNECTIONS: usize = 2;
+/// An incarnation that holds dialogues and has sent nothing for this long is probed with a new connection.
+const UNRESPONSIVE_AFTER: Duration = Duration::from_millis(1200);
+/// It counts as ended if no connection has come up since and nothing was received for this long.
+const DEAD_AFTER: Duration = Duration::from_millis(6000);
+/// The same for an incarnation that the list says is gone.
+const DELISTED_DEAD_AFTER: Duration = Duration::from_millis(1500);
+/// Pause between connections to an incarnation that no launch asks for.
+const RECONNECT_INTERVAL: Duration = Duration::from_millis(250);
+
+impl Platform {
+    pub(super) fn core_lost(&mut self, socket: SocketId, refused: bool, reason: &str, net: &mut dyn Net) {
+        let Some(core) = self.connections.cores.remove(&socket) else { return };
+        let link = core.link;
+        let outcome = if core.is_up { Outcome::BrokenOff } else { Outcome::Unreachable };
+        let unsent: Vec<Tag> = core.unsent_set_ups.iter().map(|set_up| set_up.tag).collect();
+        for (tag, launch) in core.open_launches {
+            // A set-up that was not written never reached the server.
+            let outcome = if unsent.contains(&tag) { Outcome::Unreachable } else { outcome };
+            if let Some(call) = self.connections.calls.get_mut(&tag) {
+                call.core = None;
+            }
+            self.connections.ended_launches.push_back(EndedLaunch { link, tag, launch, outcome });
+        }
+        let now = self.connections.now;
+        let Some(incarnation) = self.connections.incarnations.get_mut(&link) else { return };
+        incarnation.sockets.retain(|other| *other != socket);
+        if !core.is_up {
+            (incarnation.next_connect_at, incarnation.last_connect_failed) = (now + RECONNECT_INTERVAL, true);
+            if !refused {
+                incarnation.connect_timeouts += 1;
+            }
+        }
+        let host = incarnation.host.clone();
+        net.log(&format!("connection to {host} ended: {reason}"));
+        let sockets = &self.connections.incarnations[&link].sockets;
+        let none_up = !sockets.iter().any(|s| self.connections.cores.get(s).is_some_and(|core| core.is_up));
+        self.process_pending(net);
+        if refused && none_up && self.edge.dialogues_on_link(link) > 0 {
+            self.incarnation_ended(link, "connection refused", net);
+        }
+    }
+
+    /// A process or its machine has died: the calls standing there are cut.
+    pub(super) fn incarnation_ended(&mut self, link: LinkId, reason: &str, net: &mut dyn Net) {
+        self.connections.close_incarnation(net, link);
+        let now = self.connections.now;
+        self.edge.link_closed(now, link, reason, &mut self.connections.effects(net));
+        self.process_pending(net);
+    }
+
+    /// Closes connections that are of no more use, ends incarnations that have died, and opens connections.
+    pub(super) fn sweep_incarnations(&mut self, net: &mut dyn Net) {
+        self.close_timed_out_connections(net);
+        self.close_idle_connections(net);
+        let links: Vec<LinkId> = self.connections.incarnations.keys().copied().collect();
+        for link in links {
+            if !self.end_dead_incarnation(link, net) {
+                self.open_wanted_connection(link, net);
+            }
+        }
+    }
+
+    fn close_timed_out_connections(&mut self, net: &mut dyn Net) {
+        let now = self.connections.now;
+        let has_timed_out =
+            |core: &CoreConnection| !core.is_up && now >= core.started + self.connections.connect_timeout;
+        let timed_out: Vec<SocketId> =
+            self.connections.cores.iter().filter(|(_, c)| has_timed_out(c)).map(|(id, _)| *id).collect();
+        for socket in timed_out {
+            net.close(socket, CloseMode::Now);
+            self.core_lost(socket, false, "connect timed out", net);
+            self.process_pending(net);
+        }
+    }
+
+    /// Closes idle connections slightly before the other side would close them, so that no set-up crosses the
+    /// close.
+    fn close_idle_connections(&mut self, net: &mut dyn Net) {
+        let now = self.connections.now;
+        let is_idle = |core: &CoreConnection| {
+            core.is_up
+                && core.open_launches.is_empty()
+                && now >= core.last_used + self.connections.idle_timeout.mul_f64(0.9)
+        };
+        let idle = self.connections.cores.iter().filter(|(id, c)| is_idle(c) && !net.has_unread(**id));
+        let idle: Vec<SocketId> = idle.map(|(id, _)| *id).collect();
+        for socket in idle {
+            net.close(socket, CloseMode::Now);
+            self.core_lost(socket, false, "idle", net);
+        }
+    }
+
+    /// Ends an incarnation that has died or, if it is not listed any more, is of no more use. Returns whether
+    /// nothing is left to be done for it in this sweep.
+    fn end_dead_incarnation(&mut self, link: LinkId, net: &mut dyn Net) -> bool {
+        let now = self.connections.now;
+        let held_count = self.edge.dialogues_on_link(link);
+        let Some(incarnation) = self.connections.incarnations.get(&link) else { return true };
+        let unresponsive_for = now.saturating_sub(incarnation.last_activity);
+        if incarnation.is_gone {
+            let is_over =
+                held_count == 0 || incarnation.sockets.is_empty() || unresponsive_for >= DELISTED_DEAD_AFTER;
+            if is_over {
+                self.incarnation_ended(link, "gone from the list", net);
+            }
+            return true;
+        }
+        let is_dead = held_count > 0 && unresponsive_for >= DEAD_AFTER && incarnation.connect_timeouts > 0;
+        if is_dead {
+            self.incarnation_ended(link, "unresponsive and unreachable", net);
+        }
+        is_dead
+    }
+
+    /// Opens a connection to an incarnation that has fewer than it needs, or is unresponsive on all of them.
+    fn open_wanted_connection(&mut self, link: LinkId, net: &mut dyn Net) {
+        let now = self.connections.now;
+        let held_count = self.edge.dialogues_on_link(link);
+        let Some(incarnation) = self.connections.incarnations.get(&link) else { return };
+        let connections = incarnation.sockets.iter().filter_map(|s| self.connections.cores.get(s));
+        let up_count = connections.filter(|core| core.is_up).count();
+        let is_connecting = up_count < incarnation.sockets.len();
+        let is_unresponsive =
+            held_count > 0 && now.saturating_sub(incarnation.last_activity) >= UNRESPONSIVE_AFTER;
+        let is_wanted = up_count < MIN_CONNECTIONS || is_unresponsive;
+        if is_connecting || now < incarnation.next_connect_at || !is_wanted {
+            return;
+        }
+        if is_unresponsive && incarnation.sockets.len() >= self.connections.bounds.connections_per_core {
+            self.close_unresponsive_connection(link, net);
+        }
+        if let Some(incarnation) = self.connections.incarnations.get_mut(&link) {
+            incarnation.next_connect_at = now + RECONNECT_INTERVAL;
+        }
+        self.connections.start_connection(net, link);
+    }
+
+    /// Frees a connection slot of an incarnation that is unresponsive on all its connections, for a new
+    /// connection.
+    fn close_unresponsive_connection(&mut self, link: LinkId, net: &mut dyn Net) {
+        let sockets = self
+            .connections
+            .incarnations
+            .get(&link)
+            .map(|incarnation| incarnation.sockets.clone())
+            .unwrap_or_default();
+        let longest_unresponsive = sockets.into_iter().min_by_key(|s| {
+            self.connections
+                .cores
+                .get(s)
+                .map_or((0, Duration::ZERO), |core| (core.open_launches.len(), core.last_received))
+        });
+        if let Some(socket) = longest_unresponsive {
+            net.close(socket, CloseMode::Now);
+            self.core_lost(socket, false, "unresponsive", net);
+        }
+    }
+}
--- a/crates/platform/src/sessions/core_servers.rs
+++ b/crates/platform/src/sessions/core_servers.rs
@@ -1,4 +1,4 @@
-//! Messages from core servers, and the detection of an incarnation's end.
+//! Messages from core servers.
 
 use std::time::Duration;
 
@@ -7,21 +7,10 @@
 use lotussaddle_trunk::{DialogueEnd, Extra, Frame, Message};
 
 use super::Platform;
-use crate::codec::{self, BinaryMessage, Tag, cause, code, kind};
-use crate::connections::{EndedLaunch, dialogue_id};
-use crate::cores::CoreConnection;
+use crate::codec::{self, BinaryMessage, Framing, MessageSplitter, Tag, cause, code, kind};
+use crate::connections::dialogue_id;
 use crate::{CloseMode, Net, SocketId};
 
-/// Connections kept open to a listed core server.
-const MIN_CONNECTIONS: usize = 2;
-/// An incarnation that holds dialogues and has sent nothing for this long is probed with a new connection.
-const UNRESPONSIVE_AFTER: Duration = Duration::from_millis(1200);
-/// It counts as ended if no connection has come up since and nothing was received for this long.
-const DEAD_AFTER: Duration = Duration::from_millis(6000);
-/// The same for an incarnation that the list says is gone.
-const DELISTED_DEAD_AFTER: Duration = Duration::from_millis(1500);
-/// Pause between connections to an incarnation that no launch asks for.
-const RECONNECT_INTERVAL: Duration = Duration::from_millis(250);
 /// Copies of one load report arrive on all connections within this time.
 const REPORT_COPY_WINDOW: Duration = Duration::from_millis(60);
 
@@ -44,7 +33,40 @@
 }
 
 impl Platform {
-    pub(super) fn handle_core_message(
+    /// Bytes were received on a connection to a core server.
+    pub(super) fn core_bytes_received(&mut self, socket: SocketId, bytes: &[u8], net: &mut dyn Net) {
+        let now = self.connections.now;
+        let Some(core) = self.connections.cores.get_mut(&socket) else { return };
+        core.last_received = now;
+        let link = core.link;
+        let mut splitter = std::mem::replace(&mut core.splitter, MessageSplitter::new(Framing::Binary));
+        if let Some(incarnation) = self.connections.incarnations.get_mut(&link) {
+            incarnation.last_activity = now;
+        }
+        splitter.push(bytes);
+        loop {
+            let handled = match splitter.next_message() {
+                Ok(None) => break,
+                Ok(Some(message)) => BinaryMessage::parse(message)
+                    .and_then(|m| self.handle_core_message(socket, link, &m, net)),
+                Err(reason) => Err(reason),
+            };
+            if let Err(reason) = handled {
+                net.close(socket, CloseMode::Now);
+                self.core_lost(socket, false, reason, net);
+                break;
+            }
+            self.process_pending(net);
+            if !self.connections.cores.contains_key(&socket) {
+                break;
+            }
+        }
+        if let Some(core) = self.connections.cores.get_mut(&socket) {
+            core.splitter = splitter;
+        }
+    }
+
+    fn handle_core_message(
         &mut self, socket: SocketId, link: LinkId, message: &BinaryMessage, net: &mut dyn Net,
     ) -> Result<(), &'static str> {
         let report = message.text(code::LOAD)?;
@@ -76,7 +98,7 @@
         }
     }
 
-    pub(super) fn handle_started(
+    fn handle_started(
         &mut self, socket: SocketId, link: LinkId, message: &BinaryMessage, report: LoadReport,
         net: &mut dyn Net,
     ) -> Result<(), &'static str> {
@@ -116,7 +138,7 @@
         self.connections.calls.get(&tag)?.core.map(|(link, _)| link)
     }
 
-    pub(super) fn handle_core_finish(
+    fn handle_core_finish(
         &mut self, socket: SocketId, link: LinkId, message: &BinaryMessage, report: LoadReport,
         net: &mut dyn Net,
     ) -> Result<(), &'static str> {
@@ -217,7 +239,7 @@
     /// An unrequested load report arrives on several connections at once, and a new connection repeats the
     /// last one. It is applied once, because the decision module takes each report as newer than all launches
     /// it has placed before.
-    pub(super) fn handle_load(
+    fn handle_load(
         &mut self, socket: SocketId, link: LinkId, text: &str, report: LoadReport, net: &mut dyn Net,
     ) {
         let now = self.connections.now;
@@ -240,130 +262,4 @@
             &mut self.connections.effects(net),
         );
     }
-
-    pub(super) fn core_lost(&mut self, socket: SocketId, refused: bool, reason: &str, net: &mut dyn Net) {
-        let Some(core) = self.connections.cores.remove(&socket) else { return };
-        let link = core.link;
-        let outcome = if core.is_up { Outcome::BrokenOff } else { Outcome::Unreachable };
-        let unsent: Vec<Tag> = core.unsent_set_ups.iter().map(|set_up| set_up.tag).collect();
-        for (tag, launch) in core.open_launches {
-            // A set-up that was not written never reached the server.
-            let outcome = if unsent.contains(&tag) { Outcome::Unreachable } else { outcome };
-            if let Some(call) = self.connections.calls.get_mut(&tag) {
-                call.core = None;
-            }
-            self.connections.ended_launches.push_back(EndedLaunch { link, tag, launch, outcome });
-        }
-        let now = self.connections.now;
-        let Some(incarnation) = self.connections.incarnations.get_mut(&link) else { return };
-        incarnation.sockets.retain(|other| *other != socket);
-        if !core.is_up {
-            (incarnation.next_connect_at, incarnation.last_connect_failed) = (now + RECONNECT_INTERVAL, true);
-            if !refused {
-                incarnation.connect_timeouts += 1;
-            }
-        }
-        let host = incarnation.host.clone();
-        net.log(&format!("connection to {host} ended: {reason}"));
-        let sockets = &self.connections.incarnations[&link].sockets;
-        let none_up = !sockets.iter().any(|s| self.connections.cores.get(s).is_some_and(|core| core.is_up));
-        self.process_pending(net);
-        if refused && none_up && self.edge.dialogues_on_link(link) > 0 {
-            self.incarnation_ended(link, "connection refused", net);
-        }
-    }
-
-    /// A process or its machine has died: the calls standing there are cut.
-    pub(super) fn incarnation_ended(&mut self, link: LinkId, reason: &str, net: &mut dyn Net) {
-        self.connections.close_incarnation(net, link);
-        let now = self.connections.now;
-        self.edge.link_closed(now, link, reason, &mut self.connections.effects(net));
-        self.process_pending(net);
-    }
-
-    pub(super) fn sweep_incarnations(&mut self, net: &mut dyn Net) {
-        let now = self.connections.now;
-        let has_timed_out =
-            |core: &CoreConnection| !core.is_up && now >= core.started + self.connections.connect_timeout;
-        let timed_out: Vec<SocketId> =
-            self.connections.cores.iter().filter(|(_, c)| has_timed_out(c)).map(|(id, _)| *id).collect();
-        for socket in timed_out {
-            net.close(socket, CloseMode::Now);
-            self.core_lost(socket, false, "connect timed out", net);
-            self.process_pending(net);
-        }
-        // Closed slightly before the other side would close it, so that no set-up crosses the close.
-        let is_idle = |core: &CoreConnection| {
-            core.is_up
-                && core.open_launches.is_empty()
-                && now >= core.last_used + self.connections.idle_timeout.mul_f64(0.9)
-        };
-        let idle = self.connections.cores.iter().filter(|(id, c)| is_idle(c) && !net.has_unread(**id));
-        let idle: Vec<SocketId> = idle.map(|(id, _)| *id).collect();
-        for socket in idle {
-            net.close(socket, CloseMode::Now);
-            self.core_lost(socket, false, "idle", net);
-        }
-        let links: Vec<LinkId> = self.connections.incarnations.keys().copied().collect();
-        for link in links {
-            let held_count = self.edge.dialogues_on_link(link);
-            let Some(incarnation) = self.connections.incarnations.get(&link) else { continue };
-            let up_count = incarnation
-                .sockets
-                .iter()
-                .filter(|s| self.connections.cores.get(s).is_some_and(|core| core.is_up))
-                .count();
-            let connecting_count = incarnation.sockets.len() - up_count;
-            let unresponsive_for = now.saturating_sub(incarnation.last_activity);
-            if incarnation.is_gone {
-                if held_count == 0
-                    || up_count == 0 && connecting_count == 0
-                    || unresponsive_for >= DELISTED_DEAD_AFTER
-                {
-                    self.incarnation_ended(link, "gone from the list", net);
-                }
-                continue;
-            }
-            if held_count > 0 && unresponsive_for >= DEAD_AFTER && incarnation.connect_timeouts > 0 {
-                self.incarnation_ended(link, "unresponsive and unreachable", net);
-                continue;
-            }
-            let is_unresponsive = held_count > 0 && unresponsive_for >= UNRESPONSIVE_AFTER;
-            if connecting_count == 0
-                && now >= incarnation.next_connect_at
-                && (up_count < MIN_CONNECTIONS || is_unresponsive)
-            {
-                if is_unresponsive
-                    && incarnation.sockets.len() >= self.connections.bounds.connections_per_core
-                {
-                    self.close_unresponsive_connection(link, net);
-                }
-                if let Some(incarnation) = self.connections.incarnations.get_mut(&link) {
-                    incarnation.next_connect_at = now + RECONNECT_INTERVAL;
-                }
-                self.connections.start_connection(net, link);
-            }
-        }
-    }
-
-    /// Frees a connection slot of an incarnation that is unresponsive on all its connections, for a new
-    /// connection.
-    pub(super) fn close_unresponsive_connection(&mut self, link: LinkId, net: &mut dyn Net) {
-        let sockets = self
-            .connections
-            .incarnations
-            .get(&link)
-            .map(|incarnation| incarnation.sockets.clone())
-            .unwrap_or_default();
-        let longest_unresponsive = sockets.into_iter().min_by_key(|s| {
-            self.connections
-                .cores
-                .get(s)
-                .map_or((0, Duration::ZERO), |core| (core.open_launches.len(), core.last_received))
-        });
-        if let Some(socket) = longest_unresponsive {
-            net.close(socket, CloseMode::Now);
-            self.core_lost(socket, false, "unresponsive", net);
-        }
-    }
 }
