Platform: figures of how core connections deliver, in the log every 5 s

The log could not tell the explanations apart: it shows neither a connection with part of a message nor one that is open and silent. Added: time of the last complete message and of the first bytes of an incomplete one, for each connection to a core server, and the largest of both in the log line of the counters.

--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -176,8 +176,9 @@
             counts_at = Instant::now() + COUNTS_INTERVAL;
             let (sizes, auxiliary) = (platform.sizes(), platform.auxiliary_sizes());
             tracing::info!(
-                "held, callers, cores, remembered {sizes:?}; calls, releases, description bytes {auxiliary:?}; longest iteration {longest_iteration:?}; {:?}",
-                platform.counts()
+                "held, callers, cores, remembered {sizes:?}; calls, releases, description bytes {auxiliary:?}; longest iteration {longest_iteration:?}; {:?}; {:?}",
+                platform.counts(),
+                platform.core_connection_figures(clock())
             );
             longest_iteration = Duration::ZERO;
         }
--- a/crates/platform/src/connections.rs
+++ b/crates/platform/src/connections.rs
@@ -561,12 +561,7 @@
         let known = incarnation.sockets.iter().filter_map(|id| Some((*id, self.cores.get(id)?)));
         let best = known.min_by_key(|(_, core)| {
             let may_get_late_answer = tag.is_some_and(|tag| core.was_cancelled(tag));
-            (
-                !core.is_up,
-                may_get_late_answer,
-                core.open_launches.len(),
-                std::cmp::Reverse(core.last_received),
-            )
+            (!core.is_up, may_get_late_answer, core.open_launches.len(), std::cmp::Reverse(core.last_message))
         });
         let (best, is_free) =
             (best.map(|(id, _)| id), best.is_some_and(|(_, core)| core.open_launches.is_empty()));
--- a/crates/platform/src/cores.rs
+++ b/crates/platform/src/cores.rs
@@ -96,8 +96,10 @@
     pub is_up: bool,
     /// When the connection was started.
     pub started: Duration,
-    /// When bytes were last received.
-    pub last_received: Duration,
+    /// When the last complete message was received, or the connection came up.
+    pub last_message: Duration,
+    /// When the first bytes of a message were received that is still incomplete.
+    pub incomplete_since: Option<Duration>,
     /// Whether a load report was received on it. The first report on a new connection repeats the last one
     /// sent on the others.
     pub has_reported: bool,
@@ -120,7 +122,8 @@
             link,
             is_up: false,
             started: now,
-            last_received: now,
+            last_message: now,
+            incomplete_since: None,
             has_reported: false,
             last_used: now,
             splitter: MessageSplitter::new(Framing::Binary),
@@ -130,6 +133,18 @@
         }
     }
 
+    /// A complete message was received.
+    pub fn message_received(&mut self, now: Duration) {
+        (self.last_message, self.incomplete_since) = (now, None);
+    }
+
+    /// All received bytes have been split into messages; `pending_bytes` of them belong to an incomplete one.
+    pub fn input_split(&mut self, now: Duration, pending_bytes: usize) {
+        if pending_bytes > 0 {
+            self.incomplete_since.get_or_insert(now);
+        }
+    }
+
     /// Removes and returns the launch of a call; `None` if there is none or its set-up was not sent yet.
     pub fn take_open_launch(&mut self, tag: Tag) -> Option<LaunchNumber> {
         if self.is_unsent(tag) { None } else { self.open_launches.remove(&tag) }
@@ -158,3 +173,34 @@
         self.cancelled.retain(|other| *other != tag);
     }
 }
+
+/// How well the established connections to core servers deliver, for the log: a connection can be open and
+/// deliver nothing, or the same message for ever.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct CoreConnectionFigures {
+    /// Established connections.
+    pub up: usize,
+    /// Longest time since the last complete message on one of them.
+    pub longest_without_message: Duration,
+    /// Connections with an incomplete message.
+    pub incomplete: usize,
+    /// Longest time since the first bytes of an incomplete message.
+    pub longest_incomplete: Duration,
+}
+
+impl CoreConnectionFigures {
+    /// Figures of these connections at this time.
+    pub fn of<'a>(connections: impl Iterator<Item = &'a CoreConnection>, now: Duration) -> Self {
+        let mut figures = Self::default();
+        for core in connections.filter(|core| core.is_up) {
+            figures.up += 1;
+            figures.longest_without_message =
+                figures.longest_without_message.max(now.saturating_sub(core.last_message));
+            if let Some(since) = core.incomplete_since {
+                figures.incomplete += 1;
+                figures.longest_incomplete = figures.longest_incomplete.max(now.saturating_sub(since));
+            }
+        }
+        figures
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -12,6 +12,7 @@
 mod sessions;
 
 pub use config::{Bounds, Config, ConfigError, EPOCH, feed_address};
+pub use cores::CoreConnectionFigures;
 pub use sessions::Platform;
 
 use std::net::SocketAddr;
--- a/crates/platform/src/sessions.rs
+++ b/crates/platform/src/sessions.rs
@@ -16,6 +16,7 @@
 use crate::codec::{Framing, MessageSplitter, Tag};
 use crate::config::Config;
 use crate::connections::{CALLERS, ConnectionTable, EndedLaunch, dialogue_id};
+use crate::cores::CoreConnectionFigures;
 use crate::feed::{Event, Feed};
 use crate::{CloseMode, Net, SocketId};
 
@@ -109,6 +110,11 @@
         )
     }
 
+    /// How well the connections to core servers deliver.
+    pub fn core_connection_figures(&self, now: Duration) -> CoreConnectionFigures {
+        CoreConnectionFigures::of(self.connections.cores.values(), now)
+    }
+
     /// When [`Self::timer_fired`] must be called next.
     pub fn next_due(&self) -> Duration {
         self.edge.next_due().min(self.sweep_at)
@@ -160,7 +166,7 @@
             return;
         }
         let Some(core) = self.connections.cores.get_mut(&socket) else { return };
-        (core.is_up, core.last_received, core.last_used) = (true, now, now);
+        (core.is_up, core.last_message, core.last_used) = (true, now, now);
         let link = core.link;
         self.connections.cores_with_unsent_set_ups.insert(socket);
         if let Some(incarnation) = self.connections.incarnations.get_mut(&link) {
--- a/crates/platform/src/sessions/core_connections.rs
+++ b/crates/platform/src/sessions/core_connections.rs
@@ -163,7 +163,7 @@
             self.connections
                 .cores
                 .get(s)
-                .map_or((0, Duration::ZERO), |core| (core.open_launches.len(), core.last_received))
+                .map_or((0, Duration::ZERO), |core| (core.open_launches.len(), core.last_message))
         });
         if let Some(socket) = longest_unresponsive {
             net.close(socket, CloseMode::Now);
--- a/crates/platform/src/sessions/core_servers.rs
+++ b/crates/platform/src/sessions/core_servers.rs
@@ -37,7 +37,6 @@
     pub(super) fn core_bytes_received(&mut self, socket: SocketId, bytes: &[u8], net: &mut dyn Net) {
         let now = self.connections.now;
         let Some(core) = self.connections.cores.get_mut(&socket) else { return };
-        core.last_received = now;
         let link = core.link;
         let mut splitter = std::mem::replace(&mut core.splitter, MessageSplitter::new(Framing::Binary));
         if let Some(incarnation) = self.connections.incarnations.get_mut(&link) {
@@ -47,8 +46,13 @@
         loop {
             let handled = match splitter.next_message() {
                 Ok(None) => break,
-                Ok(Some(message)) => BinaryMessage::parse(message)
-                    .and_then(|m| self.handle_core_message(socket, link, &m, net)),
+                Ok(Some(message)) => {
+                    if let Some(core) = self.connections.cores.get_mut(&socket) {
+                        core.message_received(now);
+                    }
+                    BinaryMessage::parse(message)
+                        .and_then(|m| self.handle_core_message(socket, link, &m, net))
+                }
                 Err(reason) => Err(reason),
             };
             if let Err(reason) = handled {
@@ -62,6 +66,7 @@
             }
         }
         if let Some(core) = self.connections.cores.get_mut(&socket) {
+            core.input_split(now, splitter.pending_bytes());
             core.splitter = splitter;
         }
     }
--- a/crates/platform/tests/sessions.rs
+++ b/crates/platform/tests/sessions.rs
@@ -701,3 +701,17 @@
         }
     }
 }
+
+/// Guards against a connection that delivers nothing, or never the end of a message, and looks like any other.
+#[test]
+fn the_figures_show_which_connections_deliver_nothing() {
+    let mut w = Harness::new();
+    let core = w.open_connections_to("127.0.1.1")[0];
+    w.advance(500);
+    w.platform.bytes_received(w.now, core, &[0, 40, 9], &mut w.net);
+    w.advance(700);
+    let figures = w.platform.core_connection_figures(w.now);
+    assert_eq!((figures.up, figures.incomplete), (2, 1));
+    assert_eq!(figures.longest_incomplete, std::time::Duration::from_millis(700));
+    assert_eq!(figures.longest_without_message, std::time::Duration::from_millis(1200));
+}
