Platform: open a connection after one was lost that may have carried the end of a call

Seen by callers: a call that is over is left standing. A core server sends the end of a standing call on the connection of its set-up and again on the next one opened (PROTOCOL.md, 'Edge proxies to core servers'). When a connection is reset with an end on it unread, that next one is the only way to hear of it.

Cause: no code had the duty to open it. open_wanted_connection (crates/platform, sessions/core_connections.rs) went by the number of connections alone: with two others up none was opened, so the end was heard when some other need opened one, or never.

Fix: a connection that ends while a standing call's end may have been sent on it is noted with its time in the incarnation (end_lost_at); a connection is opened until one that was started later has come up. Calls whose own connection is open elsewhere do not count, so an idle connection that bears no call is not replaced.

--- a/crates/platform/src/connections.rs
+++ b/crates/platform/src/connections.rs
@@ -216,6 +216,16 @@
         }
     }
 
+    /// Whether the server may have sent the end of a standing call on a connection that is no longer open: it
+    /// uses the connection of the set-up, or any open one if that is closed.
+    pub fn may_have_lost_end(&self, link: LinkId) -> bool {
+        let is_own_connection_closed = |call: &Call| match call.core {
+            Some((server, socket)) => server == link && !self.cores.contains_key(&socket),
+            None => true, // Adopted: it was set up on a connection of an earlier process.
+        };
+        self.calls.values().any(|call| call.stands && is_own_connection_closed(call))
+    }
+
     /// Sends a message to a caller; false if it could not be queued.
     pub fn send_to_caller(
         &mut self, net: &mut dyn Net, socket: SocketId, tag: Tag, message: MessageToCaller,
--- a/crates/platform/src/cores.rs
+++ b/crates/platform/src/cores.rs
@@ -37,6 +37,9 @@
     pub connect_timeouts: u32,
     /// Whether the last connection attempt failed.
     pub last_connect_failed: bool,
+    /// When a connection ended on which the end of a standing call may have been sent that was not read. The
+    /// server sends it again on the next connection opened; `None` once one has come up.
+    pub end_lost_at: Option<Duration>,
     /// Whether the list says that the server is gone.
     pub is_gone: bool,
     /// Whether the list says that the server is draining or gone; nothing new is sent to it then.
@@ -67,6 +70,7 @@
             next_connect_at: now,
             connect_timeouts: 0,
             last_connect_failed: false,
+            end_lost_at: None,
             is_gone: false,
             is_draining: false,
             last_report: (Duration::ZERO, String::new()),
--- a/crates/platform/src/sessions.rs
+++ b/crates/platform/src/sessions.rs
@@ -167,11 +167,12 @@
         }
         let Some(core) = self.connections.cores.get_mut(&socket) else { return };
         (core.is_up, core.last_message, core.last_used) = (true, now, now);
-        let link = core.link;
+        let (link, started) = (core.link, core.started);
         self.connections.cores_with_unsent_set_ups.insert(socket);
         if let Some(incarnation) = self.connections.incarnations.get_mut(&link) {
             (incarnation.last_activity, incarnation.connect_timeouts, incarnation.last_connect_failed) =
                 (now, 0, false);
+            incarnation.end_lost_at = incarnation.end_lost_at.filter(|lost_at| started < *lost_at);
             for tag in std::mem::take(&mut incarnation.releases) {
                 self.connections.send_finish(net, socket, tag);
             }
--- a/crates/platform/src/sessions/core_connections.rs
+++ b/crates/platform/src/sessions/core_connections.rs
@@ -37,8 +37,12 @@
             self.connections.ended_launches.push_back(EndedLaunch { link, tag, launch, outcome });
         }
         let now = self.connections.now;
+        let may_have_lost_end = core.is_up && self.connections.may_have_lost_end(link);
         let Some(incarnation) = self.connections.incarnations.get_mut(&link) else { return };
         incarnation.sockets.retain(|other| *other != socket);
+        if may_have_lost_end {
+            incarnation.end_lost_at = Some(now);
+        }
         if !core.is_up {
             (incarnation.next_connect_at, incarnation.last_connect_failed) = (now + RECONNECT_INTERVAL, true);
             if !refused {
@@ -127,7 +131,8 @@
         is_dead
     }
 
-    /// Opens a connection to an incarnation that has fewer than it needs, or is unresponsive on all of them.
+    /// Opens a connection to an incarnation that has fewer than it needs, may have sent the end of a call on a
+    /// connection that was lost, or is unresponsive on all connections.
     fn open_wanted_connection(&mut self, link: LinkId, net: &mut dyn Net) {
         let now = self.connections.now;
         let held_count = self.edge.dialogues_on_link(link);
@@ -137,11 +142,14 @@
         let is_connecting = up_count < incarnation.sockets.len();
         let is_unresponsive =
             held_count > 0 && now.saturating_sub(incarnation.last_activity) >= UNRESPONSIVE_AFTER;
-        let is_wanted = up_count < MIN_CONNECTIONS || is_unresponsive;
+        let end_may_be_lost = held_count > 0 && incarnation.end_lost_at.is_some();
+        let is_wanted = up_count < MIN_CONNECTIONS || end_may_be_lost || is_unresponsive;
         if is_connecting || now < incarnation.next_connect_at || !is_wanted {
             return;
         }
-        if is_unresponsive && incarnation.sockets.len() >= self.connections.bounds.connections_per_core {
+        if (end_may_be_lost || is_unresponsive)
+            && incarnation.sockets.len() >= self.connections.bounds.connections_per_core
+        {
             self.close_unresponsive_connection(link, net);
         }
         if let Some(incarnation) = self.connections.incarnations.get_mut(&link) {
--- a/crates/platform/tests/harness/mod.rs
+++ b/crates/platform/tests/harness/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)] // Each test uses a part of it.
 
+pub mod core_server;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
