Platform: a paused core server keeps the set-ups on all of its connections

Seen by callers: set-ups fail although their core server answers them a moment later. When a core server said nothing for 1.2 s while a call stood there and all four connections were in use, one of them was closed to try a new one, and again every 1.2 s; what was open on it was given up.

Cause: close_unresponsive_connection took the connection with the fewest open set-ups, however many those were.

Fix: free_connection_slot closes a connection with open set-ups only after 5 s without a complete message, which leaves time for the 8 s within which the end of a call must be told; one with unread input is left.

--- a/crates/platform/src/sessions/core_connections.rs
+++ b/crates/platform/src/sessions/core_connections.rs
@@ -19,6 +19,9 @@
 const DEAD_AFTER: Duration = Duration::from_millis(6000);
 /// The same for an incarnation that the list says is gone.
 const DELISTED_DEAD_AFTER: Duration = Duration::from_millis(1500);
+/// A connection may deliver nothing for this long before its open set-ups are given up for a new connection:
+/// a caller must be told within 8 s of the end of a call that a core server could not report.
+const SILENCE_LIMIT: Duration = Duration::from_secs(5);
 /// Pause between connections to an incarnation that no launch asks for.
 const RECONNECT_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -150,7 +153,7 @@
         if (end_may_be_lost || is_unresponsive)
             && incarnation.sockets.len() >= self.connections.bounds.connections_per_core
         {
-            self.close_unresponsive_connection(link, net);
+            self.free_connection_slot(link, net);
         }
         if let Some(incarnation) = self.connections.incarnations.get_mut(&link) {
             incarnation.next_connect_at = now + RECONNECT_INTERVAL;
@@ -158,22 +161,19 @@
         self.connections.start_connection(net, link);
     }
 
-    /// Frees a connection slot of an incarnation that is unresponsive on all its connections, for a new
-    /// connection.
-    fn close_unresponsive_connection(&mut self, link: LinkId, net: &mut dyn Net) {
-        let sockets = self
-            .connections
-            .incarnations
-            .get(&link)
-            .map(|incarnation| incarnation.sockets.clone())
-            .unwrap_or_default();
-        let longest_unresponsive = sockets.into_iter().min_by_key(|s| {
-            self.connections
-                .cores
-                .get(s)
-                .map_or((0, Duration::ZERO), |core| (core.open_launches.len(), core.last_message))
+    /// Frees a connection slot of an incarnation for a new connection: closes the connection that has delivered
+    /// nothing for longest. One with open set-ups is closed only after [`SILENCE_LIMIT`], because closing it
+    /// gives them up, and a slow server may still answer them.
+    fn free_connection_slot(&mut self, link: LinkId, net: &mut dyn Net) {
+        let now = self.connections.now;
+        let Some(incarnation) = self.connections.incarnations.get(&link) else { return };
+        let known = incarnation.sockets.iter().filter_map(|id| Some((*id, self.connections.cores.get(id)?)));
+        let closable = known.filter(|(socket, core)| {
+            (core.open_launches.is_empty() || now >= core.last_message + SILENCE_LIMIT)
+                && !net.has_unread(*socket)
         });
-        if let Some(socket) = longest_unresponsive {
+        let least_useful = closable.min_by_key(|(_, core)| (core.open_launches.len(), core.last_message));
+        if let Some((socket, _)) = least_useful {
             net.close(socket, CloseMode::Now);
             self.core_lost(socket, false, "unresponsive", net);
         }
