Platform: give up single connections to core servers that stay open and deliver nothing

Cause: no code judged a single connection. Whether a core server is alive was asked of the server as a whole, by any byte on any of its connections, so a sound one vouched for an unusable one beside it. That one counted as up, got set-ups, and was the connection on which the server reports the ends of calls; the next connection, on which it repeats them, was never opened.

Fix (liveness.rs, sessions/core_connections.rs): each connection is judged by its complete messages: one that stays incomplete for 2 s, a load report missing that another connection got (1.5 s), or, while calls stand, 5 s without a message while others deliver. A suspected connection gets no set-ups and is not counted, so that another is opened; it is closed once no set-up is open on it and another is usable, and a connection is opened after that. Open set-ups keep their time: one kept open for them is not closed, a connection is opened beside it after 5 s instead. A complete message ends the suspicion. Unread input comes before any judgement.

--- a/crates/platform/src/connections.rs
+++ b/crates/platform/src/connections.rs
@@ -216,6 +216,26 @@
         }
     }
 
+    /// A complete message was received on a connection to an incarnation.
+    pub fn core_message_received(&mut self, socket: SocketId, link: LinkId) {
+        if let Some(core) = self.cores.get_mut(&socket) {
+            core.liveness.message_received(self.now);
+        }
+        if let Some(incarnation) = self.incarnations.get_mut(&link) {
+            incarnation.last_message = self.now;
+        }
+    }
+
+    /// A load report that is sent on all open connections to an incarnation was received on this one.
+    pub fn report_received(&mut self, socket: SocketId, link: LinkId) {
+        let Some(incarnation) = self.incarnations.get(&link) else { return };
+        for other in incarnation.sockets.iter().filter(|other| **other != socket) {
+            if let Some(core) = self.cores.get_mut(other).filter(|core| core.is_up) {
+                core.liveness.report_received_elsewhere(self.now);
+            }
+        }
+    }
+
     /// Whether the server may have sent the end of a standing call on a connection that is no longer open: it
     /// uses the connection of the set-up, or any open one if that is closed.
     pub fn may_have_lost_end(&self, link: LinkId) -> bool {
@@ -436,10 +456,12 @@
 
     fn release_call(&mut self, net: &mut dyn Net, link: LinkId, tag: Tag) {
         let own_socket = self.calls.get(&tag).and_then(|call| call.core).map(|(_, socket)| socket);
-        let is_up =
-            |socket: &SocketId| self.cores.get(socket).is_some_and(|core| core.is_up && core.link == link);
         let Some(incarnation) = self.incarnations.get(&link) else { return };
-        let socket = own_socket.filter(is_up).or_else(|| incarnation.sockets.iter().copied().find(is_up));
+        let known = incarnation.sockets.iter().filter_map(|id| Some((*id, self.cores.get(id)?)));
+        let best = known
+            .filter(|(_, core)| core.is_up)
+            .min_by_key(|(id, core)| (!core.is_usable(), Some(*id) != own_socket));
+        let socket = best.map(|(id, _)| id);
         if socket.is_some_and(|socket| self.send_finish(net, socket, tag)) {
             return;
         }
@@ -563,15 +585,21 @@
     /// Chooses the connection for the next launch to an incarnation: the one with the fewest open launches.
     /// Another connection is started if none is free, since an invalid answer closes its connection and
     /// breaks off everything else open on it. A connection on which the same call was cancelled is avoided: a
-    /// late answer to the earlier launch would be taken for an answer to the new one.
+    /// late answer to the earlier launch would be taken for an answer to the new one. One that is held to be of
+    /// no further use is not chosen.
     pub fn choose_connection(
         &mut self, net: &mut dyn Net, link: LinkId, tag: Option<Tag>,
     ) -> Option<SocketId> {
         let incarnation = self.incarnations.get(&link)?;
         let known = incarnation.sockets.iter().filter_map(|id| Some((*id, self.cores.get(id)?)));
-        let best = known.min_by_key(|(_, core)| {
+        let best = known.filter(|(_, core)| core.liveness.suspicion.is_none()).min_by_key(|(_, core)| {
             let may_get_late_answer = tag.is_some_and(|tag| core.was_cancelled(tag));
-            (!core.is_up, may_get_late_answer, core.open_launches.len(), std::cmp::Reverse(core.last_message))
+            (
+                !core.is_up,
+                may_get_late_answer,
+                core.open_launches.len(),
+                std::cmp::Reverse(core.liveness.last_message),
+            )
         });
         let (best, is_free) =
             (best.map(|(id, _)| id), best.is_some_and(|(_, core)| core.open_launches.is_empty()));
--- a/crates/platform/src/cores.rs
+++ b/crates/platform/src/cores.rs
@@ -10,6 +10,7 @@
 
 use crate::SocketId;
 use crate::codec::{Framing, MessageSplitter, Tag};
+use crate::liveness::Liveness;
 
 /// Cancelled set-ups remembered for each connection, to distinguish an answer that crossed the cancellation
 /// from one to an unknown set-up.
@@ -29,6 +30,10 @@
     pub releases: Vec<Tag>,
     /// When bytes were last received from it, or a connection last came up.
     pub last_activity: Duration,
+    /// When a complete message was last received from it.
+    pub last_message: Duration,
+    /// When a connection last came up. An end that the server sent before is sent again on that connection.
+    pub last_up_at: Duration,
     /// When a connection was last started.
     pub last_connect_started: Duration,
     /// Earliest time to start the next connection without a launch that needs it.
@@ -66,6 +71,8 @@
             sockets: Vec::new(),
             releases: Vec::new(),
             last_activity: now,
+            last_message: now,
+            last_up_at: now,
             last_connect_started: now,
             next_connect_at: now,
             connect_timeouts: 0,
@@ -100,10 +107,8 @@
     pub is_up: bool,
     /// When the connection was started.
     pub started: Duration,
-    /// When the last complete message was received, or the connection came up.
-    pub last_message: Duration,
-    /// When the first bytes of a message were received that is still incomplete.
-    pub incomplete_since: Option<Duration>,
+    /// What it has delivered.
+    pub liveness: Liveness,
     /// Whether a load report was received on it. The first report on a new connection repeats the last one
     /// sent on the others.
     pub has_reported: bool,
@@ -126,8 +131,7 @@
             link,
             is_up: false,
             started: now,
-            last_message: now,
-            incomplete_since: None,
+            liveness: Liveness::new(now),
             has_reported: false,
             last_used: now,
             splitter: MessageSplitter::new(Framing::Binary),
@@ -137,16 +141,9 @@
         }
     }
 
-    /// A complete message was received.
-    pub fn message_received(&mut self, now: Duration) {
-        (self.last_message, self.incomplete_since) = (now, None);
-    }
-
-    /// All received bytes have been split into messages; `pending_bytes` of them belong to an incomplete one.
-    pub fn input_split(&mut self, now: Duration, pending_bytes: usize) {
-        if pending_bytes > 0 {
-            self.incomplete_since.get_or_insert(now);
-        }
+    /// Whether it is established and not held to be of no further use.
+    pub fn is_usable(&self) -> bool {
+        self.is_up && self.liveness.suspicion.is_none()
     }
 
     /// Removes and returns the launch of a call; `None` if there is none or its set-up was not sent yet.
@@ -177,34 +174,3 @@
         self.cancelled.retain(|other| *other != tag);
     }
 }
-
-/// How well the established connections to core servers deliver, for the log: a connection can be open and
-/// deliver nothing, or the same message for ever.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct CoreConnectionFigures {
-    /// Established connections.
-    pub up: usize,
-    /// Longest time since the last complete message on one of them.
-    pub longest_without_message: Duration,
-    /// Connections with an incomplete message.
-    pub incomplete: usize,
-    /// Longest time since the first bytes of an incomplete message.
-    pub longest_incomplete: Duration,
-}
-
-impl CoreConnectionFigures {
-    /// Figures of these connections at this time.
-    pub fn of<'a>(connections: impl Iterator<Item = &'a CoreConnection>, now: Duration) -> Self {
-        let mut figures = Self::default();
-        for core in connections.filter(|core| core.is_up) {
-            figures.up += 1;
-            figures.longest_without_message =
-                figures.longest_without_message.max(now.saturating_sub(core.last_message));
-            if let Some(since) = core.incomplete_since {
-                figures.incomplete += 1;
-                figures.longest_incomplete = figures.longest_incomplete.max(now.saturating_sub(since));
-            }
-        }
-        figures
-    }
-}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -9,10 +9,11 @@
 mod connections;
 mod cores;
 pub mod feed;
+mod liveness;
 mod sessions;
 
 pub use config::{Bounds, Config, ConfigError, EPOCH, feed_address};
-pub use cores::CoreConnectionFigures;
+pub use liveness::CoreConnectionFigures;
 pub use sessions::Platform;
 
 use std::net::SocketAddr;
--- a/crates/platform/src/sessions.rs
+++ b/crates/platform/src/sessions.rs
@@ -16,8 +16,8 @@
 use crate::codec::{Framing, MessageSplitter, Tag};
 use crate::config::Config;
 use crate::connections::{CALLERS, ConnectionTable, EndedLaunch, dialogue_id};
-use crate::cores::CoreConnectionFigures;
 use crate::feed::{Event, Feed};
+use crate::liveness::{CoreConnectionFigures, Liveness};
 use crate::{CloseMode, Net, SocketId};
 
 /// Interval between checks of connections and incarnations.
@@ -112,7 +112,8 @@
 
     /// How well the connections to core servers deliver.
     pub fn core_connection_figures(&self, now: Duration) -> CoreConnectionFigures {
-        CoreConnectionFigures::of(self.connections.cores.values(), now)
+        let up = self.connections.cores.values().filter(|core| core.is_up);
+        CoreConnectionFigures::of(up.map(|core| &core.liveness), now)
     }
 
     /// When [`Self::timer_fired`] must be called next.
@@ -166,12 +167,12 @@
             return;
         }
         let Some(core) = self.connections.cores.get_mut(&socket) else { return };
-        (core.is_up, core.last_message, core.last_used) = (true, now, now);
+        (core.is_up, core.liveness, core.last_used) = (true, Liveness::new(now), now);
         let (link, started) = (core.link, core.started);
         self.connections.cores_with_unsent_set_ups.insert(socket);
         if let Some(incarnation) = self.connections.incarnations.get_mut(&link) {
-            (incarnation.last_activity, incarnation.connect_timeouts, incarnation.last_connect_failed) =
-                (now, 0, false);
+            (incarnation.last_activity, incarnation.last_up_at) = (now, now);
+            (incarnation.connect_timeouts, incarnation.last_connect_failed) = (0, false);
             incarnation.end_lost_at = incarnation.end_lost_at.filter(|lost_at| started < *lost_at);
             for tag in std::mem::take(&mut incarnation.releases) {
                 self.connections.send_finish(net, socket, tag);
--- a/crates/platform/src/sessions/core_connections.rs
+++ b/crates/platform/src/sessions/core_connections.rs
@@ -8,7 +8,8 @@
 use super::Platform;
 use crate::codec::Tag;
 use crate::connections::EndedLaunch;
-use crate::cores::CoreConnection;
+use crate::cores::{CoreConnection, Incarnation};
+use crate::liveness::SILENCE_LIMIT;
 use crate::{CloseMode, Net, SocketId};
 
 /// Connections kept open to a listed core server.
@@ -19,9 +20,6 @@
 const DEAD_AFTER: Duration = Duration::from_millis(6000);
 /// The same for an incarnation that the list says is gone.
 const DELISTED_DEAD_AFTER: Duration = Duration::from_millis(1500);
-/// A connection may deliver nothing for this long before its open set-ups are given up for a new connection:
-/// a caller must be told within 8 s of the end of a call that a core server could not report.
-const SILENCE_LIMIT: Duration = Duration::from_secs(5);
 /// Pause between connections to an incarnation that no launch asks for.
 const RECONNECT_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -74,6 +72,8 @@
     pub(super) fn sweep_incarnations(&mut self, net: &mut dyn Net) {
         self.close_timed_out_connections(net);
         self.close_idle_connections(net);
+        self.suspect_connections(net);
+        self.close_suspected_connections(net);
         let links: Vec<LinkId> = self.connections.incarnations.keys().copied().collect();
         for link in links {
             if !self.end_dead_incarnation(link, net) {
@@ -112,6 +112,59 @@
         }
     }
 
+    /// Marks the connections that are open and of no further use; they get no new set-ups. Set-ups that are open
+    /// there keep their time, because the connection may only be slow.
+    fn suspect_connections(&mut self, net: &mut dyn Net) {
+        let now = self.connections.now;
+        let unsuspected = self.connections.cores.iter_mut().filter(|(_, core)| core.is_usable());
+        for (socket, core) in unsuspected {
+            let Some(incarnation) = self.connections.incarnations.get(&core.link) else { continue };
+            let may_carry_end = self.edge.dialogues_on_link(core.link) > 0;
+            let suspicion = core.liveness.check(now, incarnation.last_message, may_carry_end);
+            if let Some(suspicion) = suspicion.filter(|_| !net.has_unread(*socket)) {
+                core.liveness.suspicion = Some(suspicion);
+                net.log(&format!(
+                    "connection to {} suspected: {suspicion}, {} set-ups open",
+                    incarnation.host,
+                    core.open_launches.len()
+                ));
+            }
+        }
+    }
+
+    /// Closes suspected connections without open set-ups once another one is usable. The ends of calls that were
+    /// lost there are sent again on the connection opened next.
+    fn close_suspected_connections(&mut self, net: &mut dyn Net) {
+        let is_usable = |id: &SocketId| self.connections.cores.get(id).is_some_and(CoreConnection::is_usable);
+        let has_usable = |link: &LinkId| {
+            self.connections.incarnations.get(link).is_some_and(|known| known.sockets.iter().any(is_usable))
+        };
+        let suspected = self.connections.cores.iter().filter(|(socket, core)| {
+            core.liveness.suspicion.is_some()
+                && core.open_launches.is_empty()
+                && has_usable(&core.link)
+                && !net.has_unread(**socket)
+        });
+        let suspected: Vec<SocketId> = suspected.map(|(socket, _)| *socket).collect();
+        for socket in suspected {
+            net.close(socket, CloseMode::Now);
+            self.core_lost(socket, false, "of no further use", net);
+        }
+    }
+
+    /// Whether a server may have sent the end of a call on a connection that lost it, and on no other since: on
+    /// one that was closed, or for some time on one that is suspected and kept open for its set-ups.
+    fn end_may_be_lost(&self, incarnation: &Incarnation) -> bool {
+        let now = self.connections.now;
+        let mut known = incarnation.sockets.iter().filter_map(|id| self.connections.cores.get(id));
+        let is_lost_on = |core: &CoreConnection| {
+            core.is_up
+                && core.liveness.suspicion.is_some()
+                && now >= core.liveness.last_message.max(incarnation.last_up_at) + SILENCE_LIMIT
+        };
+        incarnation.end_lost_at.is_some() || known.any(is_lost_on)
+    }
+
     /// Ends an incarnation that has died or, if it is not listed any more, is of no more use. Returns whether
     /// nothing is left to be done for it in this sweep.
     fn end_dead_incarnation(&mut self, link: LinkId, net: &mut dyn Net) -> bool {
@@ -134,25 +187,24 @@
         is_dead
     }
 
-    /// Opens a connection to an incarnation that has fewer than it needs, may have sent the end of a call on a
-    /// connection that was lost, or is unresponsive on all connections.
+    /// Opens a connection to an incarnation that has fewer usable ones than it needs, may have sent the end of a
+    /// call on a connection that lost it, or is unresponsive on all connections.
     fn open_wanted_connection(&mut self, link: LinkId, net: &mut dyn Net) {
         let now = self.connections.now;
-        let held_count = self.edge.dialogues_on_link(link);
+        let holds_calls = self.edge.dialogues_on_link(link) > 0;
         let Some(incarnation) = self.connections.incarnations.get(&link) else { return };
-        let connections = incarnation.sockets.iter().filter_map(|s| self.connections.cores.get(s));
-        let up_count = connections.filter(|core| core.is_up).count();
-        let is_connecting = up_count < incarnation.sockets.len();
+        let known = incarnation.sockets.iter().filter_map(|id| self.connections.cores.get(id));
+        let is_connecting = known.clone().any(|core| !core.is_up);
+        let usable_count = known.filter(|core| core.is_usable()).count();
         let is_unresponsive =
-            held_count > 0 && now.saturating_sub(incarnation.last_activity) >= UNRESPONSIVE_AFTER;
-        let end_may_be_lost = held_count > 0 && incarnation.end_lost_at.is_some();
-        let is_wanted = up_count < MIN_CONNECTIONS || end_may_be_lost || is_unresponsive;
+            holds_calls && now.saturating_sub(incarnation.last_activity) >= UNRESPONSIVE_AFTER;
+        let end_may_be_lost = holds_calls && self.end_may_be_lost(incarnation);
+        let is_wanted = usable_count < MIN_CONNECTIONS || end_may_be_lost || is_unresponsive;
         if is_connecting || now < incarnation.next_connect_at || !is_wanted {
             return;
         }
-        if (end_may_be_lost || is_unresponsive)
-            && incarnation.sockets.len() >= self.connections.bounds.connections_per_core
-        {
+        let is_full = incarnation.sockets.len() >= self.connections.bounds.connections_per_core;
+        if is_full && (usable_count == 0 || end_may_be_lost || is_unresponsive) {
             self.free_connection_slot(link, net);
         }
         if let Some(incarnation) = self.connections.incarnations.get_mut(&link) {
@@ -161,18 +213,19 @@
         self.connections.start_connection(net, link);
     }
 
-    /// Frees a connection slot of an incarnation for a new connection: closes the connection that has delivered
-    /// nothing for longest. One with open set-ups is closed only after [`SILENCE_LIMIT`], because closing it
-    /// gives them up, and a slow server may still answer them.
+    /// Frees a connection slot of an incarnation for a new connection: closes one without open set-ups, or else
+    /// with few, that has delivered nothing for longest. One with open set-ups is closed only after [`SILENCE_LIMIT`], because
+    /// closing it gives them up, and a slow server may still answer them.
     fn free_connection_slot(&mut self, link: LinkId, net: &mut dyn Net) {
         let now = self.connections.now;
         let Some(incarnation) = self.connections.incarnations.get(&link) else { return };
         let known = incarnation.sockets.iter().filter_map(|id| Some((*id, self.connections.cores.get(id)?)));
         let closable = known.filter(|(socket, core)| {
-            (core.open_launches.is_empty() || now >= core.last_message + SILENCE_LIMIT)
-                && !net.has_unread(*socket)
+            let is_long_silent = now >= core.liveness.last_message + SILENCE_LIMIT;
+            (core.open_launches.is_empty() || is_long_silent) && !net.has_unread(*socket)
         });
-        let least_useful = closable.min_by_key(|(_, core)| (core.open_launches.len(), core.last_message));
+        let least_useful = closable
+            .min_by_key(|(_, core)| (core.open_launches.len(), core.is_usable(), core.liveness.last_message));
         if let Some((socket, _)) = least_useful {
             net.close(socket, CloseMode::Now);
             self.core_lost(socket, false, "unresponsive", net);
--- a/crates/platform/src/sessions/core_servers.rs
+++ b/crates/platform/src/sessions/core_servers.rs
@@ -47,9 +47,7 @@
             let handled = match splitter.next_message() {
                 Ok(None) => break,
                 Ok(Some(message)) => {
-                    if let Some(core) = self.connections.cores.get_mut(&socket) {
-                        core.message_received(now);
-                    }
+                    self.connections.core_message_received(socket, link);
                     BinaryMessage::parse(message)
                         .and_then(|m| self.handle_core_message(socket, link, &m, net))
                 }
@@ -66,7 +64,7 @@
             }
         }
         if let Some(core) = self.connections.cores.get_mut(&socket) {
-            core.input_split(now, splitter.pending_bytes());
+            core.liveness.input_split(now, splitter.pending_bytes());
             core.splitter = splitter;
         }
     }
@@ -253,6 +251,9 @@
             .cores
             .get_mut(&socket)
             .is_some_and(|core| !std::mem::replace(&mut core.has_reported, true));
+        if !is_first {
+            self.connections.report_received(socket, link);
+        }
         let Some(incarnation) = self.connections.incarnations.get_mut(&link) else { return };
         if incarnation.last_report.1 == text
             && (is_first || now < incarnation.last_report.0 + REPORT_COPY_WINDOW)
--- a/crates/platform/tests/harness/core_server.rs
+++ b/crates/platform/tests/harness/core_server.rs
@@ -85,7 +85,12 @@
 
 impl CoreServer {
     pub fn new() -> Self {
-        let mut w = Harness::with_changes(&CHANGES);
+        Self::with_changes(&[])
+    }
+
+    /// With further changes of the harness's configuration.
+    pub fn with_changes(changes: &[(&str, &str)]) -> Self {
+        let mut w = Harness::with_changes(&[&CHANGES, changes].concat());
         w.send_feed_event(2, OTHER_SERVER_DRAINS);
         let mut server = Self {
             started: w.now,
@@ -223,6 +228,16 @@
         Some((tag, caller, set_up?.0))
     }
 
+    /// The next set-up that the decision module lets go to the server, which it avoids for some time after the
+    /// server was silent.
+    pub fn next_set_up(&mut self) -> (u64, SocketId, SocketId) {
+        let next = (0..100).find_map(|_| {
+            self.run(STEP_MS);
+            self.try_set_up()
+        });
+        next.expect("the server is used again")
+    }
+
     /// Sets a call up that stands.
     pub fn standing_call(&mut self) -> (u64, SocketId, SocketId) {
         let (tag, caller, core) = self.set_up();
@@ -296,19 +311,28 @@
         open
     }
 
-    /// Brings the number of open connections up to this, with set-ups that are open at the same time.
-    pub fn open_up_to(&mut self, count: usize) {
-        for _ in 0..20 {
-            for (tag, caller, core) in self.concurrent_set_ups() {
+    /// Lets set-ups be open at the same time until the decision module allows this many; each is answered and
+    /// ends. Connections are opened for them meanwhile.
+    pub fn allow_concurrent_set_ups(&mut self, count: usize) {
+        for _ in 0..50 {
+            let open = self.concurrent_set_ups();
+            let is_enough = open.len() >= count;
+            for (tag, caller, core) in open {
                 self.send(core, &answer(tag));
                 assert!(self.w.take_sent(caller).contains("STARTED"));
                 self.send(core, &message(kind::FINISH, tag, &[(code::CAUSE, &[cause::NORMAL])]));
                 assert!(self.w.take_sent(caller).contains("FINISH"));
             }
-            if self.open_connections().len() >= count {
+            if is_enough {
                 return;
             }
         }
-        panic!("connections: {:?}", self.open_connections());
+        panic!("the decision module does not allow {count} set-ups");
+    }
+
+    /// Brings the number of open connections up to this.
+    pub fn open_up_to(&mut self, count: usize) {
+        self.allow_concurrent_set_ups(count);
+        assert!(self.open_connections().len() >= count, "connections: {:?}", self.open_connections());
     }
 }
--- a/crates/platform/tests/unusable_connections.rs
+++ b/crates/platform/tests/unusable_connections.rs
@@ -6,8 +6,10 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use harness::core_server::{CoreServer, STEP_MS, answer};
+use harness::core_server::{CoreServer, FAILURES, Failure, STEP_MS, answer};
+use harness::finish;
 use lotussaddle_platform::SocketId;
+use lotussaddle_platform::codec::cause;
 
 /// Guards against an end that is lost with a connection while enough others are up that none is opened.
 #[test]
@@ -66,3 +68,267 @@
         assert_eq!(server.w.take_sent(caller), "");
     }
 }
+
+/// Guards against calls left standing because the only connection that carries their end is unusable.
+#[test]
+fn a_call_is_released_although_the_connection_of_its_set_up_became_unusable() {
+    let mut failures = Vec::new();
+    for failure in FAILURES {
+        for end_after_ms in [100, 2500, 9000] {
+            let mut server = CoreServer::new();
+            let (connection, calls) = server.standing_calls();
+            server.fail(connection, failure);
+            server.run(end_after_ms);
+            for (tag, _) in &calls {
+                server.end(*tag);
+            }
+            if calls.iter().any(|(tag, caller)| server.time_until_released(*tag, *caller).is_none()) {
+                failures.push((failure, end_after_ms));
+            }
+        }
+    }
+    assert!(failures.is_empty(), "not released: {failures:?}");
+}
+
+/// Guards against an end that is lost because no load report shows which connection is unusable.
+#[test]
+fn a_call_is_released_without_any_load_report() {
+    let mut failures = Vec::new();
+    for failure in FAILURES {
+        for end_after_ms in [100, 2500, 9000] {
+            let mut server = CoreServer::new();
+            server.sends_reports = false;
+            let (connection, calls) = server.standing_calls();
+            server.fail(connection, failure);
+            server.run(end_after_ms);
+            for (tag, _) in &calls {
+                server.end(*tag);
+            }
+            if calls.iter().any(|(tag, caller)| server.time_until_released(*tag, *caller).is_none()) {
+                failures.push((failure, end_after_ms));
+            }
+        }
+    }
+    assert!(failures.is_empty(), "not released: {failures:?}");
+}
+
+/// Guards against calls left standing because all connections become unusable one after the other.
+#[test]
+fn a_call_is_released_although_every_connection_became_unusable() {
+    for failure in FAILURES {
+        let mut server = CoreServer::new();
+        let (_, calls) = server.standing_calls();
+        for socket in server.open_connections() {
+            server.fail(socket, failure);
+            server.run(200);
+        }
+        for (tag, _) in &calls {
+            server.end(*tag);
+        }
+        for (tag, caller) in calls {
+            assert!(server.time_until_released(tag, caller).is_some(), "{failure:?}: {tag} is not released");
+        }
+    }
+}
+
+/// Guards against calls left standing behind a connection that came up and never delivered anything.
+#[test]
+fn a_call_is_released_although_new_connections_deliver_nothing() {
+    let mut server = CoreServer::new();
+    let (connection, calls) = server.standing_calls();
+    server.new_connections_fail = true;
+    server.fail(connection, Failure::AnswerStopsShort);
+    server.run(2500);
+    server.new_connections_fail = false;
+    for (tag, _) in &calls {
+        server.end(*tag);
+    }
+    for (tag, caller) in calls {
+        assert!(server.time_until_released(tag, caller).is_some(), "{tag} is not released");
+    }
+}
+
+/// Guards against set-ups that are sent on an unusable connection because it is the one with the fewest.
+#[test]
+fn set_ups_are_not_sent_on_an_unusable_connection() {
+    for failure in FAILURES {
+        let mut server = CoreServer::new();
+        server.allow_concurrent_set_ups(4);
+        let connection = server.open_connections()[0];
+        server.fail(connection, failure);
+        server.run(4000);
+        let open = server.concurrent_set_ups();
+        assert!(
+            open.len() >= 4 && open.iter().all(|(.., core)| *core != connection),
+            "{failure:?}: {open:?}"
+        );
+    }
+}
+
+/// Guards against a loss of set-ups and calls on a connection that is slow in the middle of an answer.
+#[test]
+fn an_answer_that_pauses_in_the_middle_is_passed_on() {
+    for pause_ms in [500, 1500, 3000, 4500] {
+        let mut server = CoreServer::new();
+        let (standing, standing_caller, _) = server.standing_call();
+        let (tag, caller, core) = server.set_up();
+        server.delayed.insert(core, answer(tag));
+        server.deliver_delayed(core, answer(tag).len() / 2);
+        server.run(pause_ms);
+        assert!(server.is_open(core), "closed in a pause of {pause_ms} ms");
+        server.resume(core);
+        assert!(server.w.take_sent(caller).contains("STARTED"), "a pause of {pause_ms} ms");
+        server.calls.insert(tag, core);
+        server.run(1000);
+        for (tag, caller) in [(standing, standing_caller), (tag, caller)] {
+            server.end(tag);
+            assert!(server.time_until_released(tag, caller).is_some(), "{tag}");
+        }
+    }
+}
+
+/// Guards against a loss of set-ups on a connection that delivers an answer byte by byte.
+#[test]
+fn an_answer_that_arrives_byte_by_byte_is_passed_on() {
+    let mut server = CoreServer::new();
+    server.standing_call();
+    let (tag, caller, core) = server.set_up();
+    server.delayed.insert(core, answer(tag));
+    for _ in answer(tag) {
+        server.deliver_delayed(core, 1);
+        server.run(2 * STEP_MS);
+    }
+    assert!(server.w.take_sent(caller).contains("STARTED"));
+}
+
+/// Guards against a connection that stays excluded although it delivers again.
+#[test]
+fn a_connection_that_delivers_again_is_used_again() {
+    let mut server = CoreServer::new();
+    let (tag, caller, core) = server.set_up();
+    server.delayed.insert(core, answer(tag));
+    server.deliver_delayed(core, 20);
+    server.run(3000);
+    server.resume(core);
+    assert!(server.w.take_sent(caller).contains("STARTED"));
+    assert_eq!(server.next_set_up().2, core, "the first of equals is preferred");
+}
+
+/// Guards against judging by the clock what waits to be read after this process itself was paused.
+#[test]
+fn a_connection_with_unread_input_is_not_held_to_be_unusable() {
+    let mut server = CoreServer::new();
+    let (tag, caller, connection) = server.standing_call();
+    let report = server.report();
+    server.send(connection, &report[..10]);
+    server.w.net.unread_sockets.extend(server.open_connections());
+    server.w.advance(3000);
+    assert!(server.is_open(connection), "its input waits to be read");
+    let suspected = server.w.platform.core_connection_figures(server.w.now).suspected;
+    assert_eq!(suspected, 0);
+    server.w.net.unread_sockets.clear();
+    server.send(connection, &report[10..]);
+    server.run(1000);
+    assert!(server.is_open(connection));
+    server.end(tag);
+    assert!(server.time_until_released(tag, caller).is_some());
+}
+
+/// Guards against an end that waits for the set-ups open on an unusable connection, and against giving those up.
+#[test]
+fn a_call_is_released_while_a_set_up_stays_open_on_the_unusable_connection() {
+    for end_after_ms in [100, 2500, 4000] {
+        let mut server = CoreServer::new();
+        let (connection, calls) = server.standing_calls();
+        let open = server.concurrent_set_ups();
+        let on_connection = open.iter().find(|(.., core)| *core == connection);
+        let (tag, caller, _) = *on_connection.expect("a set-up is open on each connection");
+        server.delayed.insert(connection, answer(tag));
+        server.deliver_delayed(connection, 20);
+        server.run(end_after_ms);
+        // What the network delays until the answer is complete is no help to the callers of these.
+        for (ended, _) in &calls {
+            server.end(*ended);
+        }
+        for (ended, released_caller) in calls {
+            assert!(server.time_until_released(ended, released_caller).is_some(), "{ended} is not released");
+            assert_eq!(server.w.take_sent(caller), "", "the set-up keeps its time");
+        }
+        assert!(server.is_open(connection));
+        server.resume(connection);
+        assert!(server.w.take_sent(caller).contains("STARTED"), "{tag} is answered");
+    }
+}
+
+/// Guards against set-ups that get no answer behind an incomplete message, with no report and no call to show it.
+#[test]
+fn set_ups_are_not_sent_behind_an_incomplete_message() {
+    let mut server = CoreServer::new();
+    server.sends_reports = false;
+    server.allow_concurrent_set_ups(4);
+    let connection = server.open_connections()[0];
+    server.fail(connection, Failure::Noise);
+    server.run(2500);
+    let open = server.concurrent_set_ups();
+    assert!(open.len() >= 4 && open.iter().all(|(.., core)| *core != connection), "{open:?}");
+}
+
+/// Guards against set-ups sent on a suspected connection that is kept for the set-ups open on it.
+#[test]
+fn a_suspected_connection_gets_no_more_set_ups_and_no_releases() {
+    let mut server = CoreServer::with_changes(&[("\"cancel\":true", "\"cancel\":false")]);
+    server.allow_concurrent_set_ups(9);
+    let (connection, calls) = server.standing_calls();
+    let set_up = std::iter::repeat_with(|| server.set_up()).find(|(.., core)| *core == connection);
+    let (tag, ..) = set_up.expect("each connection gets set-ups");
+    server.delayed.insert(connection, answer(tag));
+    server.deliver_delayed(connection, 20);
+    // Others are answered, so that the decision module does not avoid the whole server.
+    for _ in 0..50 {
+        server.run(STEP_MS);
+        server.standing_call();
+    }
+    assert!(server.is_open(connection));
+    let open = server.concurrent_set_ups();
+    assert!(open.len() >= 6 && open.iter().all(|(.., core)| *core != connection), "{open:?}");
+    let (hung_up, caller) = calls[0];
+    server.w.take_core_messages();
+    server.w.send_line(caller, finish(hung_up, cause::NORMAL).trim());
+    let released_on: Vec<SocketId> =
+        server.w.take_core_messages().iter().map(|(socket, ..)| *socket).collect();
+    assert!(released_on.len() == 1 && released_on[0] != connection, "{released_on:?}");
+}
+
+/// Guards against a server that is never used again because all connections allowed to it are unusable.
+#[test]
+fn a_server_is_used_again_after_all_its_connections_became_unusable() {
+    let mut server = CoreServer::new();
+    server.open_up_to(4);
+    let unusable = server.open_connections();
+    for socket in &unusable {
+        server.fail(*socket, Failure::Noise);
+    }
+    server.run(4000);
+    let (_, _, core) = server.standing_call();
+    assert!(!unusable.contains(&core));
+}
+
+/// Guards against calls that are cut because a suspected connection is closed while no other one comes up.
+#[test]
+fn a_suspected_connection_is_kept_while_no_other_one_comes_up() {
+    let mut server = CoreServer::new();
+    let (tag, caller, connection) = server.standing_call();
+    for other in server.open_connections().into_iter().filter(|other| *other != connection) {
+        server.w.lose_connection(other, false);
+    }
+    server.delayed.insert(connection, Vec::new());
+    server.deliver(connection, &[0, 20, 12]);
+    for _ in 0..80 {
+        server.w.advance(STEP_MS);
+        for (socket, _) in std::mem::take(&mut server.w.net.started_connections) {
+            server.w.lose_connection(socket, true);
+        }
+    }
+    assert!(server.is_open(connection));
+    assert_eq!(server.w.take_sent(caller), "", "{tag} stands");
+}
