Platform: a caller's message in pieces is timed from its first bytes

Seen by callers: a set-up whose bytes arrive in pieces is closed unread with its connection, if nothing else passed on that connection for 1.8 s before. Callers keep a connection for 4 s without a call, so this is a usual one; a request that has been read and is closed without an answer is lost.

Cause: sweep_callers (crates/platform, sessions/callers.rs) measured the 1.8 s for an incomplete message from the last complete message, not from the first bytes of the incomplete one.

Fix: the time of the first bytes is kept, as for connections to core servers; 1.8 s run from it, or from what was sent on the connection since.

Result: a_set_up_in_pieces_is_read_on_a_connection_that_was_idle fails before (closed at the first look) and passes now; a_message_without_an_end_closes_its_connection_however_often_bytes_arrive holds the other side before and after. Tests of the package pass.

--- a/crates/platform/src/connections.rs
+++ b/crates/platform/src/connections.rs
@@ -21,6 +21,8 @@
     pub splitter: MessageSplitter,
     /// When it was accepted.
     pub accepted_at: Duration,
+    /// When the first bytes of a message were received that is still incomplete.
+    pub incomplete_since: Option<Duration>,
     /// When the last complete message was received or sent.
     pub last_used: Duration,
     /// Unanswered set-ups received on it.
--- a/crates/platform/src/sessions.rs
+++ b/crates/platform/src/sessions.rs
@@ -13,7 +13,7 @@
 use lotussaddle::interface::*;
 use lotussaddle_edge::{Counts, Edge};
 
-use crate::codec::{Framing, MessageSplitter, Tag};
+use crate::codec::Tag;
 use crate::config::Config;
 use crate::connections::{CALLERS, ConnectionTable, EndedLaunch, dialogue_id};
 use crate::feed::{Event, Feed};
@@ -220,13 +220,8 @@
                 net.close(socket, CloseMode::Now);
                 self.feed_lost(error.0, net);
             }
-        } else if let Some(caller) = self.connections.callers.get_mut(&socket) {
-            let mut splitter = std::mem::replace(&mut caller.splitter, MessageSplitter::new(Framing::Lines));
-            splitter.push(bytes);
-            self.handle_caller_messages(socket, &mut splitter, net);
-            if let Some(caller) = self.connections.callers.get_mut(&socket) {
-                caller.splitter = splitter;
-            }
+        } else if self.connections.callers.contains_key(&socket) {
+            self.caller_bytes_received(socket, bytes, net);
         } else {
             self.core_bytes_received(socket, bytes, net);
         }
--- a/crates/platform/src/sessions/callers.rs
+++ b/crates/platform/src/sessions/callers.rs
@@ -13,7 +13,8 @@
 use crate::connections::{CALLERS, Call, CallerConnection, dialogue_id};
 use crate::{CloseMode, Net, SocketId};
 
-/// A connection without a valid message, or with an incomplete one, is closed after this time.
+/// A connection is closed this long after it was accepted if it has sent no valid message, and this long after
+/// the first bytes of a message that stays incomplete, or after the last message sent meanwhile.
 const CALLER_MESSAGE_TIMEOUT: Duration = Duration::from_millis(1800);
 /// Callers close a connection that has been idle for 4 s; one that is idle for longer will not be closed by
 /// its caller.
@@ -33,6 +34,7 @@
         let caller = CallerConnection {
             splitter: MessageSplitter::new(Framing::Lines),
             accepted_at: now,
+            incomplete_since: None,
             last_used: now,
             open_set_ups: Default::default(),
             standing_calls: 0,
@@ -69,7 +71,22 @@
         })
     }
 
-    pub(super) fn handle_caller_messages(
+    /// Bytes were received on a caller's connection.
+    pub(super) fn caller_bytes_received(&mut self, socket: SocketId, bytes: &[u8], net: &mut dyn Net) {
+        let now = self.connections.now;
+        let Some(caller) = self.connections.callers.get_mut(&socket) else { return };
+        let mut splitter = std::mem::replace(&mut caller.splitter, MessageSplitter::new(Framing::Lines));
+        splitter.push(bytes);
+        self.handle_caller_messages(socket, &mut splitter, net);
+        if let Some(caller) = self.connections.callers.get_mut(&socket) {
+            if splitter.pending_bytes() > 0 {
+                caller.incomplete_since.get_or_insert(now);
+            }
+            caller.splitter = splitter;
+        }
+    }
+
+    fn handle_caller_messages(
         &mut self, socket: SocketId, splitter: &mut MessageSplitter, net: &mut dyn Net,
     ) {
         loop {
@@ -79,6 +96,9 @@
                 Err(reason) => Err(InvalidMessage { tag: None, reason }),
             };
             let now = self.connections.now;
+            if let Some(caller) = self.connections.callers.get_mut(&socket) {
+                caller.incomplete_since = None;
+            }
             match received {
                 Ok(CallerMessage::Start(start)) => self.handle_start(socket, start, net),
                 Ok(CallerMessage::Finish(tag)) => self.handle_caller_finish(socket, tag, net),
@@ -271,8 +291,9 @@
     pub(super) fn sweep_callers(&mut self, net: &mut dyn Net) {
         let now = self.connections.now;
         let expired = self.connections.callers.iter().filter(|(id, c)| {
-            let is_incomplete = c.splitter.pending_bytes() > 0
-                && now >= c.last_used.max(c.accepted_at) + CALLER_MESSAGE_TIMEOUT;
+            let is_incomplete = c
+                .incomplete_since
+                .is_some_and(|since| now >= since.max(c.last_used) + CALLER_MESSAGE_TIMEOUT);
             let is_idle = if c.has_sent_valid {
                 now >= c.last_used + CALLER_IDLE_TIMEOUT
             } else {
--- a/crates/platform/tests/sessions.rs
+++ b/crates/platform/tests/sessions.rs
@@ -715,3 +715,36 @@
     assert_eq!(figures.longest_incomplete, std::time::Duration::from_millis(700));
     assert_eq!(figures.longest_without_message, std::time::Duration::from_millis(1200));
 }
+
+/// Guards against a lost set-up whose connection was idle for some time before and whose bytes arrive in pieces.
+#[test]
+fn a_set_up_in_pieces_is_read_on_a_connection_that_was_idle() {
+    let mut w = Harness::new();
+    let caller = w.new_caller();
+    w.send_line(caller, r#"{"verb":"ECHO","tag":"00000000000000aa","opts":{},"rc":0}"#);
+    w.take_sent(caller);
+    w.advance(3000);
+    let set_up = r#"{"verb":"START","tag":"0000000000000005","opts":{"class":"voice","left":"2000","extras":"dest:0"},"blob":"x"}"#;
+    let (first, rest) = set_up.split_at(40);
+    w.platform.bytes_received(w.now, caller, first.as_bytes(), &mut w.net);
+    w.advance(1500);
+    assert!(!w.net.closed.contains_key(&caller), "the message has begun 1.5 s ago");
+    w.send_line(caller, rest);
+    let core = w.take_only_set_up();
+    w.answer_from_core(core, 5);
+    assert!(w.take_sent(caller).contains("STARTED"));
+}
+
+/// Guards against a connection that is kept for ever because single bytes of a message without an end arrive.
+#[test]
+fn a_message_without_an_end_closes_its_connection_however_often_bytes_arrive() {
+    let mut w = Harness::new();
+    let caller = w.new_caller();
+    w.send_line(caller, r#"{"verb":"ECHO","tag":"00000000000000aa","opts":{},"rc":0}"#);
+    for _ in 0..18 {
+        w.platform.bytes_received(w.now, caller, b"x", &mut w.net);
+        w.advance(100);
+    }
+    w.advance(100);
+    assert!(w.net.closed.contains_key(&caller), "1.9 s after the first byte");
+}
