Platform: give up a connection that delivers reports and answers no set-up

Seen by callers: set-ups fail, again and again, and ends of calls are not told, although the server answers on its other connections. Load reports still arrive on the connection, so the judgement by complete messages does not see it; since its set-ups are given up, it is the one with the fewest and is chosen next.

Fix: a set-up that is cancelled without an answer after one that was sent later on another connection was answered counts against its connection; three in a row without any answer there make it suspected, and an answer ends that. Set-ups that callers leave before anything overtook them do not count.

--- a/crates/platform/src/connections.rs
+++ b/crates/platform/src/connections.rs
@@ -9,7 +9,7 @@
 
 use crate::codec::{self, MessageSplitter, MessageToCaller, Tag, cause, code, kind};
 use crate::config::Bounds;
-use crate::cores::{CoreConnection, Incarnation, SetUp};
+use crate::cores::{CoreConnection, Incarnation, OpenLaunch, SetUp};
 use crate::{CloseMode, Net, SocketId};
 
 /// The logical link that all callers share.
@@ -228,6 +228,16 @@
         }
     }
 
+    /// A set-up on a connection to an incarnation has had an outcome.
+    pub fn set_up_answered(&mut self, socket: SocketId, link: LinkId, launch: OpenLaunch) {
+        if let Some(core) = self.cores.get_mut(&socket) {
+            core.liveness.set_up_answered();
+        }
+        if let Some(incarnation) = self.incarnations.get_mut(&link) {
+            incarnation.last_answered_sent_at = incarnation.last_answered_sent_at.max(launch.sent_at);
+        }
+    }
+
     /// A load report that is sent on all open connections to an incarnation was received on this one.
     pub fn report_received(&mut self, socket: SocketId, link: LinkId) {
         let Some(incarnation) = self.incarnations.get(&link) else { return };
@@ -358,7 +368,7 @@
             return self.ended_launches.push_back(EndedLaunch { link, tag, launch: launch.launch, outcome });
         };
         let core = self.cores.get_mut(&socket).expect("the chosen connection exists");
-        core.open_launches.insert(tag, launch.launch);
+        core.open_launches.insert(tag, OpenLaunch { number: launch.launch, sent_at: None });
         core.unsent_set_ups.push(SetUp {
             tag,
             deadline: self.now + launch.time_left,
@@ -387,7 +397,7 @@
             let (link, mut held_back) = (core.link, Vec::new());
             for set_up in std::mem::take(&mut core.unsent_set_ups) {
                 let tag = set_up.tag;
-                let Some(launch) = core.open_launches.get(&tag).copied() else { continue };
+                let Some(launch) = core.open_launches.get(&tag).map(|launch| launch.number) else { continue };
                 let Some(call) = self.calls.get(&tag) else {
                     core.open_launches.remove(&tag); // The caller has given up.
                     continue;
@@ -414,7 +424,7 @@
                     self.ended_launches.push_back(EndedLaunch { link, tag, launch, outcome });
                     ended = true;
                 } else {
-                    core.last_used = self.now;
+                    core.set_up_sent(tag, self.now);
                 }
             }
             if !held_back.is_empty() {
@@ -428,12 +438,14 @@
     fn cancel_launch(&mut self, net: &mut dyn Net, tag: Tag) {
         let Some((_, socket)) = self.calls.get_mut(&tag).and_then(|call| call.core.take()) else { return };
         let Some(core) = self.cores.get_mut(&socket) else { return };
-        if core.open_launches.remove(&tag).is_none() {
-            return;
-        }
+        let Some(launch) = core.open_launches.remove(&tag) else { return };
         if core.is_unsent(tag) {
             return core.unsent_set_ups.retain(|waiting| waiting.tag != tag);
         }
+        let incarnation = self.incarnations.get(&core.link);
+        if incarnation.is_some_and(|incarnation| incarnation.last_answered_sent_at > launch.sent_at) {
+            core.liveness.overtaken_set_up_cancelled();
+        }
         core.record_cancellation(tag);
         self.send_finish(net, socket, tag);
     }
--- a/crates/platform/src/cores.rs
+++ b/crates/platform/src/cores.rs
@@ -32,6 +32,8 @@
     pub last_activity: Duration,
     /// When a complete message was last received from it.
     pub last_message: Duration,
+    /// When the set-up was sent that was sent last of all that had an outcome.
+    pub last_answered_sent_at: Option<Duration>,
     /// When a connection last came up. An end that the server sent before is sent again on that connection.
     pub last_up_at: Duration,
     /// When a connection was last started.
@@ -72,6 +74,7 @@
             releases: Vec::new(),
             last_activity: now,
             last_message: now,
+            last_answered_sent_at: None,
             last_up_at: now,
             last_connect_started: now,
             next_connect_at: now,
@@ -99,6 +102,15 @@
     pub description: Vec<u8>,
 }
 
+/// A launch on a connection that has no outcome.
+#[derive(Clone, Copy, Debug)]
+pub struct OpenLaunch {
+    /// Number of the launch.
+    pub number: LaunchNumber,
+    /// When its set-up was sent; `None` until then.
+    pub sent_at: Option<Duration>,
+}
+
 /// A connection to a core server.
 pub struct CoreConnection {
     /// The edge's link to the incarnation.
@@ -117,7 +129,7 @@
     /// Splits the received bytes into messages.
     pub splitter: MessageSplitter,
     /// Launches sent or to be sent on it that have no outcome.
-    pub open_launches: BTreeMap<Tag, LaunchNumber>,
+    pub open_launches: BTreeMap<Tag, OpenLaunch>,
     /// Set-ups to be sent at the end of the loop iteration in which they were decided on, or when the
     /// connection comes up.
     pub unsent_set_ups: Vec<SetUp>,
@@ -146,8 +158,16 @@
         self.is_up && self.liveness.suspicion.is_none()
     }
 
+    /// The set-up of an open launch has been written.
+    pub fn set_up_sent(&mut self, tag: Tag, now: Duration) {
+        self.last_used = now;
+        if let Some(launch) = self.open_launches.get_mut(&tag) {
+            launch.sent_at = Some(now);
+        }
+    }
+
     /// Removes and returns the launch of a call; `None` if there is none or its set-up was not sent yet.
-    pub fn take_open_launch(&mut self, tag: Tag) -> Option<LaunchNumber> {
+    pub fn take_open_launch(&mut self, tag: Tag) -> Option<OpenLaunch> {
         if self.is_unsent(tag) { None } else { self.open_launches.remove(&tag) }
     }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -9,7 +9,7 @@
 mod connections;
 mod cores;
 pub mod feed;
-mod liveness;
+pub mod liveness;
 mod sessions;
 
 pub use config::{Bounds, Config, ConfigError, EPOCH, feed_address};
--- a/crates/platform/src/liveness.rs
+++ b/crates/platform/src/liveness.rs
@@ -17,6 +17,10 @@
 /// within 8 s of the end of a call that a core server could not report.
 pub const SILENCE_LIMIT: Duration = Duration::from_secs(5);
 
+/// A connection on which this many set-ups in a row were cancelled without an answer, while one that was sent
+/// later on another connection to the same server was answered, delivers no answers.
+const MAX_OVERTAKEN_SET_UPS: u32 = 3;
+
 /// Why a connection is held to be of no further use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Suspicion {
@@ -26,6 +30,8 @@
     MissedReport,
     /// Other connections received messages, and this one, on which calls may end, received none.
     Silent,
+    /// Set-ups get no answer here, while those sent later on other connections do.
+    UnansweredSetUps,
 }
 
 impl fmt::Display for Suspicion {
@@ -34,6 +40,7 @@
             Self::IncompleteMessage => "a message is incomplete",
             Self::MissedReport => "a load report is missing",
             Self::Silent => "nothing is received while other connections deliver",
+            Self::UnansweredSetUps => "set-ups are not answered while other connections answer",
         })
     }
 }
@@ -47,19 +54,39 @@
     pub incomplete_since: Option<Duration>,
     /// When another connection received a load report that is missing here.
     missed_report_at: Option<Duration>,
-    /// Set by [`Self::check`], until a complete message is received.
+    /// Set-ups cancelled in a row without an answer that were overtaken on another connection.
+    overtaken_set_ups: u32,
+    /// Set after [`Self::check`], until what was missing is received.
     pub suspicion: Option<Suspicion>,
 }
 
 impl Liveness {
     /// Of a connection that has just been started, or has just come up.
     pub fn new(now: Duration) -> Self {
-        Self { last_message: now, incomplete_since: None, missed_report_at: None, suspicion: None }
+        Self {
+            last_message: now,
+            incomplete_since: None,
+            missed_report_at: None,
+            overtaken_set_ups: 0,
+            suspicion: None,
+        }
     }
 
-    /// A complete message was received: whatever was suspected, the connection delivers.
+    /// A complete message was received, so the connection delivers; answers to set-ups may still be missing.
     pub fn message_received(&mut self, now: Duration) {
-        *self = Self::new(now);
+        (self.last_message, self.incomplete_since, self.missed_report_at) = (now, None, None);
+        self.suspicion = self.suspicion.filter(|suspicion| *suspicion == Suspicion::UnansweredSetUps);
+    }
+
+    /// A set-up sent on this connection was answered or refused.
+    pub fn set_up_answered(&mut self) {
+        (self.overtaken_set_ups, self.suspicion) = (0, None);
+    }
+
+    /// A set-up sent on this connection was cancelled without an answer, and one that was sent later on another
+    /// connection had been answered.
+    pub fn overtaken_set_up_cancelled(&mut self) {
+        self.overtaken_set_ups += 1;
     }
 
     /// All received bytes have been split into messages; `pending_bytes` of them belong to an incomplete one.
@@ -88,6 +115,9 @@
         if has_expired(self.missed_report_at, MISSED_REPORT_TIMEOUT) {
             return Some(Suspicion::MissedReport);
         }
+        if self.overtaken_set_ups >= MAX_OVERTAKEN_SET_UPS {
+            return Some(Suspicion::UnansweredSetUps);
+        }
         let is_silent = may_carry_end
             && server_last_message > self.last_message
             && now >= self.last_message + SILENCE_LIMIT;
--- a/crates/platform/src/sessions/core_connections.rs
+++ b/crates/platform/src/sessions/core_connections.rs
@@ -35,6 +35,7 @@
             if let Some(call) = self.connections.calls.get_mut(&tag) {
                 call.core = None;
             }
+            let launch = launch.number;
             self.connections.ended_launches.push_back(EndedLaunch { link, tag, launch, outcome });
         }
         let now = self.connections.now;
--- a/crates/platform/src/sessions/core_servers.rs
+++ b/crates/platform/src/sessions/core_servers.rs
@@ -119,8 +119,9 @@
             message.parameter(code::DESCRIPTION).filter(|d| !d.is_empty()).ok_or("missing description")?;
         std::str::from_utf8(description).map_err(|_| "description is not UTF-8")?;
         core.open_launches.remove(&tag);
+        self.connections.set_up_answered(socket, link, launch);
         let extra = vec![Extra { tag: code::DESCRIPTION, value: description.to_vec() }];
-        let frame = Frame::Stood { dialogue: dialogue_id(tag), launch, report };
+        let frame = Frame::Stood { dialogue: dialogue_id(tag), launch: launch.number, report };
         self.edge.frame_received(now, link, Message { frame, extra }, &mut self.connections.effects(net));
         Ok(())
     }
@@ -149,6 +150,8 @@
         let note = message.text(code::NOTE)?;
         let core = self.connections.cores.get_mut(&socket);
         if let Some(launch) = core.and_then(|core| core.take_open_launch(tag)) {
+            self.connections.set_up_answered(socket, link, launch);
+            let launch = launch.number;
             if let Some(call) = self.connections.calls.get_mut(&tag) {
                 call.core = None;
             }
--- a/crates/platform/tests/harness/core_server.rs
+++ b/crates/platform/tests/harness/core_server.rs
@@ -50,11 +50,17 @@
     EndlessAnswer,
     /// The first half of a load report is sent, and nothing afterwards.
     ReportStopsShort,
+    /// The length of an answer is too small, so that its rest counts as the beginning of the next message.
+    AnswerLengthTooSmall,
+    /// Load reports arrive, and nothing else does.
+    OnlyReportsArrive,
 }
 
-pub const FAILURES: [Failure; 6] = [
+/// The failures after which no complete message arrives.
+pub const FAILURES: [Failure; 7] = [
     Failure::AnswerStopsShort,
     Failure::AnswerLengthTooLarge,
+    Failure::AnswerLengthTooSmall,
     Failure::Noise,
     Failure::AnswerNeverArrives,
     Failure::EndlessAnswer,
@@ -125,8 +131,11 @@
 
     /// Sends bytes that the network delivers as far as the connection's failure lets it.
     pub fn send(&mut self, socket: SocketId, bytes: &[u8]) {
-        let is_lost =
-            self.failed.get(&socket).is_some_and(|failure| *failure != Failure::AnswerLengthTooLarge);
+        let is_lost = match self.failed.get(&socket) {
+            None | Some(Failure::AnswerLengthTooLarge | Failure::AnswerLengthTooSmall) => false,
+            Some(Failure::OnlyReportsArrive) => bytes[2] != kind::LOAD,
+            Some(_) => true,
+        };
         if !self.is_open(socket) || is_lost {
             return;
         }
@@ -271,7 +280,12 @@
                 bytes
             }
             Failure::Noise => vec![0x1f, 0xa3, 0x77, 0x02, 0xee, 0x31],
-            Failure::AnswerNeverArrives => Vec::new(),
+            Failure::AnswerLengthTooSmall => {
+                let mut bytes = answer(1);
+                bytes[..2].copy_from_slice(&9u16.to_be_bytes());
+                bytes
+            }
+            Failure::AnswerNeverArrives | Failure::OnlyReportsArrive => Vec::new(),
             Failure::ReportStopsShort => self.report()[..12].to_vec(),
         };
         self.send(socket, &spoilt);
--- a/crates/platform/tests/unusable_connections.rs
+++ b/crates/platform/tests/unusable_connections.rs
@@ -332,3 +332,70 @@
     assert!(server.is_open(connection));
     assert_eq!(server.w.take_sent(caller), "", "{tag} stands");
 }
+
+/// Guards against set-ups and ends lost on a connection that answers nothing and still delivers load reports.
+#[test]
+fn a_connection_that_delivers_reports_and_answers_nothing_is_given_up() {
+    let mut server = CoreServer::new();
+    server.allow_concurrent_set_ups(4);
+    let (connection, calls) = server.standing_calls();
+    server.fail(connection, Failure::OnlyReportsArrive);
+    let mut unanswered = 0;
+    for _ in 0..40 {
+        for (tag, caller, core) in server.concurrent_set_ups() {
+            server.calls.insert(tag, core);
+            server.send(core, &answer(tag));
+            unanswered += u32::from(!server.w.take_sent(caller).contains("STARTED"));
+            server.end(tag);
+        }
+        server.run(2 * STEP_MS);
+    }
+    assert!((1..20).contains(&unanswered), "{unanswered} set-ups without an answer");
+    assert!(!server.is_open(connection));
+    for (tag, caller) in calls {
+        server.end(tag);
+        assert!(server.time_until_released(tag, caller).is_some(), "{tag} is not released");
+    }
+}
+
+/// Guards against giving up connections that answer some set-ups late, which are cancelled by then.
+#[test]
+fn a_connection_that_answers_some_set_ups_late_is_kept() {
+    let mut server = CoreServer::new();
+    server.allow_concurrent_set_ups(2);
+    let open = server.open_connections();
+    let mut overtaken_on = BTreeSet::new();
+    for _ in 0..20 {
+        let (_, leaving, slow) = server.next_set_up();
+        server.run(STEP_MS);
+        let (tag, _, quick) = server.set_up();
+        assert_ne!(slow, quick);
+        overtaken_on.insert(slow);
+        server.calls.insert(tag, quick);
+        server.send(quick, &answer(tag));
+        server.end(tag);
+        server.w.lose_connection(leaving, false);
+    }
+    assert!(overtaken_on.len() > 1, "each connection is slow at times");
+    assert!(open.iter().all(|socket| server.is_open(*socket)), "{:?}", server.w.net.log);
+}
+
+/// Guards against giving up a connection because callers leave before it can answer.
+#[test]
+fn a_connection_is_kept_when_callers_leave_before_the_answer() {
+    let mut server = CoreServer::new();
+    server.allow_concurrent_set_ups(4);
+    let open = server.open_connections();
+    for _ in 0..40 {
+        let set_ups = server.concurrent_set_ups();
+        for (_, caller, _) in &set_ups[1..] {
+            server.w.lose_connection(*caller, false);
+        }
+        let (tag, _, core) = set_ups[0];
+        server.calls.insert(tag, core);
+        server.send(core, &answer(tag));
+        server.end(tag);
+        server.run(2 * STEP_MS);
+    }
+    assert!(open.iter().all(|socket| server.is_open(*socket)), "{:?}", server.w.net.log);
+}
