Tests: the feed and callers whose open connections are of no further use, or only seem so

The same question was gone through for the other two sides, with a test for each way that had none: a feed that stops within a line or sends one without an end, a caller that reads nothing, a caller that pauses within a message.

Taking out what each guards makes it fail, but for the feed: its time of the last line is also guarded by the tests of the loop, not shown here.

--- a/crates/platform/tests/unusable_connections.rs
+++ b/crates/platform/tests/unusable_connections.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use harness::core_server::{CoreServer, FAILURES, Failure, STEP_MS, answer};
-use harness::finish;
+use harness::{FEED, Harness, finish};
 use lotussaddle_platform::SocketId;
 use lotussaddle_platform::codec::cause;
 
@@ -399,3 +399,57 @@
     }
     assert!(open.iter().all(|socket| server.is_open(*socket)), "{:?}", server.w.net.log);
 }
+
+/// Guards against a control feed that is waited for although it delivers no whole line any more.
+#[test]
+fn a_feed_that_stops_or_sends_a_line_without_an_end_is_asked_again() {
+    for is_endless in [false, true] {
+        let mut w = Harness::new();
+        w.send_feed_event(2, r#"{"host":"b","dial":"127.0.1.2:1","block":1,"health":"Ready"}"#);
+        w.platform.bytes_received(w.now, FEED, br#"{"n":3,"members":{"#, &mut w.net);
+        let stopped_at = w.now;
+        while !w.net.closed.contains_key(&FEED) {
+            w.advance(STEP_MS);
+            if is_endless && !w.net.closed.contains_key(&FEED) {
+                w.platform.bytes_received(w.now, FEED, b" ", &mut w.net);
+            }
+            assert!(w.now < stopped_at + Duration::from_millis(1750), "endless: {is_endless}");
+        }
+        w.advance(200);
+        let feed = w.open_connections_to("127.0.0.9")[0];
+        w.bring_up(feed);
+        assert_eq!(w.take_sent(feed), "SUB 2\n", "the event that stopped short is asked for again");
+    }
+}
+
+/// Guards against an end that waits on the connection of a caller that reads nothing.
+#[test]
+fn an_end_is_sent_elsewhere_when_the_callers_connection_takes_nothing() {
+    let mut server = CoreServer::new();
+    let (tag, caller, _) = server.standing_call();
+    let (_, other, _) = server.standing_call();
+    server.w.net.full_queues.insert(caller);
+    server.end(tag);
+    server.run(2 * STEP_MS);
+    assert!(server.w.net.closed.contains_key(&caller), "nothing can be sent on it");
+    assert_eq!(server.w.take_sent(other), finish(tag, cause::NORMAL));
+}
+
+/// Guards against a loss of calls because their caller pauses within a message.
+#[test]
+fn a_caller_that_pauses_within_a_message_keeps_its_calls_and_set_ups() {
+    let mut server = CoreServer::new();
+    let (standing, caller, _) = server.standing_call();
+    let set_up = r#"{"verb":"START","tag":"00000000000000bb","opts":{"class":"voice","left":"8000","extras":"dest:0"},"blob":"x"}"#;
+    server.w.send_line(caller, set_up);
+    let core = server.w.take_only_set_up();
+    server.w.platform.bytes_received(server.w.now, caller, b"{\"verb\":\"EC", &mut server.w.net);
+    server.run(4000);
+    server.send(core, &answer(0xbb));
+    assert!(server.w.take_sent(caller).contains("STARTED"), "an answer is outstanding on it");
+    server.run(1500);
+    server.w.send_line(caller, "HO\",\"tag\":\"00000000000000cc\",\"opts\":{},\"rc\":0}");
+    assert!(server.w.take_sent(caller).contains("ECHOED"));
+    server.end(standing);
+    assert_eq!(server.w.take_sent(caller), finish(standing, cause::NORMAL));
+}
