--- a/crates/platform/src/liveness.rs
+++ b/crates/platform/src/liveness.rs
@@ -16,7 +16,6 @@
 /// The end of a call may be lost on a connection for this long without any evidence. A caller must be told
 /// within 8 s of the end of a call that a core server could not report.
 pub const SILENCE_LIMIT: Duration = Duration::from_secs(5);
-
 /// A connection on which this many set-ups in a row were cancelled without an answer, while one that was sent
 /// later on another connection to the same server was answered, delivers no answers.
 const MAX_OVERTAKEN_SET_UPS: u32 = 3;
--- a/crates/platform/src/sessions/core_connections.rs
+++ b/crates/platform/src/sessions/core_connections.rs
@@ -8,7 +8,7 @@
 use super::Platform;
 use crate::codec::Tag;
 use crate::connections::EndedLaunch;
-use crate::cores::{CoreConnection, Incarnation};
+use crate::cores::{CoreConnection, Incarnation, OpenLaunch};
 use crate::liveness::SILENCE_LIMIT;
 use crate::{CloseMode, Net, SocketId};
 
@@ -29,13 +29,12 @@
         let link = core.link;
         let outcome = if core.is_up { Outcome::BrokenOff } else { Outcome::Unreachable };
         let unsent: Vec<Tag> = core.unsent_set_ups.iter().map(|set_up| set_up.tag).collect();
-        for (tag, launch) in core.open_launches {
+        for (tag, OpenLaunch { number: launch, .. }) in core.open_launches {
             // A set-up that was not written never reached the server.
             let outcome = if unsent.contains(&tag) { Outcome::Unreachable } else { outcome };
             if let Some(call) = self.connections.calls.get_mut(&tag) {
                 call.core = None;
             }
-            let launch = launch.number;
             self.connections.ended_launches.push_back(EndedLaunch { link, tag, launch, outcome });
         }
         let now = self.connections.now;
