--- a/crates/platform/tests/drawn.rs
+++ b/crates/platform/tests/drawn.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use harness::{FEED, Harness, finish};
+use harness::{FEED, Harness, assert_no_violations, finish};
 use lotussaddle::pcg::Pcg;
 use lotussaddle_platform::codec::{cause, kind};
 use lotussaddle_platform::{EPOCH, SocketId};
@@ -363,17 +363,7 @@
 
 #[test]
 fn each_obligation_is_met_exactly_once_in_random_runs() {
-    let seeds = std::env::var("LOTUSSADDLE_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(150);
-    let mut violations = Vec::new();
-    for seed in 1..=seeds {
-        violations.extend(Run::new(seed).run().into_iter().map(|what| format!("seed {seed}: {what}")));
-    }
-    assert!(
-        violations.is_empty(),
-        "{} violations, first {:#?}",
-        violations.len(),
-        &violations[..violations.len().min(12)]
-    );
+    assert_no_violations(150, |seed| Run::new(seed).run());
 }
 
 #[test]
--- a/crates/platform/tests/drawn_failures.rs
+++ b/crates/platform/tests/drawn_failures.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use harness::core_server::{CoreServer, FAILURES, RELEASE_LIMIT, STEP_MS, answer};
-use harness::finish;
+use harness::{assert_no_violations, finish};
 use lotussaddle::pcg::Pcg;
 use lotussaddle_platform::SocketId;
 use lotussaddle_platform::codec::cause;
@@ -184,15 +184,5 @@
 /// Guards against combinations of failures that leave a call standing or cut one that stands.
 #[test]
 fn every_end_is_told_in_time_and_no_other_one_in_random_runs() {
-    let seeds = std::env::var("LOTUSSADDLE_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(300);
-    let mut violations = Vec::new();
-    for seed in 1..=seeds {
-        violations.extend(Run::new(seed).run().into_iter().map(|what| format!("seed {seed}: {what}")));
-    }
-    assert!(
-        violations.is_empty(),
-        "{} violations, first {:#?}",
-        violations.len(),
-        &violations[..violations.len().min(12)]
-    );
+    assert_no_violations(300, |seed| Run::new(seed).run());
 }
--- a/crates/platform/tests/harness/mod.rs
+++ b/crates/platform/tests/harness/mod.rs
@@ -277,3 +277,18 @@
 pub fn finish(tag: u64, cause: u8) -> String {
     format!("{{\"verb\":\"FINISH\",\"tag\":\"{tag:016x}\",\"opts\":{{}},\"rc\":{cause}}}\n")
 }
+
+/// Runs the seeds from 1 to `count`, or to `LOTUSSADDLE_SEEDS`, and asserts that none has violations.
+pub fn assert_no_violations(count: u64, run: impl Fn(u64) -> Vec<String>) {
+    let seeds = std::env::var("LOTUSSADDLE_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(count);
+    let mut violations = Vec::new();
+    for seed in 1..=seeds {
+        violations.extend(run(seed).into_iter().map(|what| format!("seed {seed}: {what}")));
+    }
+    assert!(
+        violations.is_empty(),
+        "{} violations, first {:#?}",
+        violations.len(),
+        &violations[..violations.len().min(12)]
+    );
+}
