--- a/crates/platform/src/sessions/core_connections.rs
+++ b/crates/platform/src/sessions/core_connections.rs
@@ -214,8 +214,8 @@
     }
 
     /// Frees a connection slot of an incarnation for a new connection: closes one without open set-ups, or else
-    /// with few, that has delivered nothing for longest. One with open set-ups is closed only after [`SILENCE_LIMIT`], because
-    /// closing it gives them up, and a slow server may still answer them.
+    /// with few, that is suspected or has delivered nothing for longest. One with open set-ups is closed only
+    /// after [`SILENCE_LIMIT`], because closing it gives them up, and a slow server may still answer them.
     fn free_connection_slot(&mut self, link: LinkId, net: &mut dyn Net) {
         let now = self.connections.now;
         let Some(incarnation) = self.connections.incarnations.get(&link) else { return };
