Platform: ends told before callers report their calls are kept as far as the limits go

Cause: `Bounds::remembered_ends` was 1,024 whatever the limits. The process before can have held M x 128 dialogues, so that many ends are owed. On the same path: releases that wait for a connection to a core server used the same number, and were all dropped where the first connection took none of them.

Evidence: `held` 434 in the log for 20 s with `taken` 0; the core servers had sent all ends; no release was pending.

Why this works: `ended_calls.rs` keeps as many ends as dialogues may be held; repeats of ends that were passed on are kept apart and displace none that is owed; an end counts for a call reported at its own server only. Tables are bounded, what is forgotten is a line in the log.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -133,6 +133,11 @@
         self.state.concluded.add(self.state.now, dialogue, &self.state.limits);
     }
 
+    /// Whether a dialogue is remembered as concluded.
+    pub fn is_concluded(&self, dialogue: &DialogueId) -> bool {
+        self.state.concluded.contains(dialogue)
+    }
+
     /// Number of held dialogues that use this link.
     pub fn dialogues_on_link(&self, link: LinkId) -> usize {
         self.state.links.get(&link).map_or(0, |known| known.dialogues.len())
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -176,7 +176,8 @@
             counts_at = Instant::now() + COUNTS_INTERVAL;
             let (sizes, auxiliary) = (platform.sizes(), platform.auxiliary_sizes());
             tracing::info!(
-                "held, callers, cores, remembered {sizes:?}; calls, releases, description bytes {auxiliary:?}; longest iteration {longest_iteration:?}; {:?}; {:?}",
+                "held, callers, cores, remembered {sizes:?}; calls, releases, description bytes {auxiliary:?}; remembered ends (owed, repeated) {:?}; longest iteration {longest_iteration:?}; {:?}; {:?}",
+                platform.remembered_ends(),
                 platform.counts(),
                 platform.core_connection_figures(clock())
             );
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -74,9 +74,11 @@
     pub unwritten_bytes: usize,
     /// Number of releases that wait for a caller to acknowledge them.
     pub pending_releases: usize,
-    /// Number of ended calls, not held by this edge proxy, whose end is remembered in case a caller reports such
-    /// a call as standing; also the number of releases that wait for a connection to one core server.
+    /// Number of ended calls, not held by this process, whose end is remembered in case a caller reports such a
+    /// call as standing: as many as the process before it can have held.
     pub remembered_ends: usize,
+    /// Number of releases that wait for a connection to a core server, over all of them.
+    pub waiting_releases: usize,
     /// Bounds of the edge.
     pub edge: Limits,
 }
@@ -95,7 +97,8 @@
             description_bytes: memory / 16,
             unwritten_bytes: 128 * 1024,
             pending_releases: dialogues,
-            remembered_ends: 1024,
+            remembered_ends: dialogues,
+            waiting_releases: dialogues,
             edge: Limits {
                 max_dialogues: dialogues,
                 max_links: 1,
--- a/crates/platform/src/connections/launches.rs
+++ b/crates/platform/src/connections/launches.rs
@@ -148,12 +148,23 @@
         if socket.is_some_and(|socket| self.send_finish(net, socket, tag)) {
             return;
         }
-        if let Some(incarnation) = self
-            .incarnations
-            .get_mut(&link)
-            .filter(|incarnation| incarnation.releases.len() < self.bounds.remembered_ends)
-        {
+        let waiting: usize = self.incarnations.values().map(|incarnation| incarnation.releases.len()).sum();
+        if waiting >= self.bounds.waiting_releases {
+            return net.log(&format!("release of {tag} dropped: too many wait for a connection"));
+        }
+        if let Some(incarnation) = self.incarnations.get_mut(&link) {
             incarnation.releases.push(tag);
         }
     }
+
+    /// Sends the releases that wait for a connection to an incarnation on one that is up. Those for which its write
+    /// queue has no room go on waiting.
+    pub fn send_waiting_releases(&mut self, net: &mut dyn Net, socket: SocketId, link: LinkId) {
+        let Some(incarnation) = self.incarnations.get_mut(&link) else { return };
+        let mut waiting = std::mem::take(&mut incarnation.releases).into_iter();
+        let unsent = waiting.by_ref().find(|tag| !self.send_finish(net, socket, *tag));
+        if let Some(incarnation) = self.incarnations.get_mut(&link) {
+            incarnation.releases.extend(unsent.into_iter().chain(waiting));
+        }
+    }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -8,6 +8,7 @@
 mod config;
 mod connections;
 mod cores;
+pub mod ended_calls;
 pub mod feed;
 pub mod liveness;
 mod sessions;
--- a/crates/platform/src/sessions.rs
+++ b/crates/platform/src/sessions.rs
@@ -6,16 +6,16 @@
 mod feed_events;
 mod shutdown;
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use lotussaddle::interface::*;
 use lotussaddle_edge::{Counts, Edge};
 
-use crate::codec::Tag;
 use crate::config::Config;
 use crate::connections::{CALLERS, ConnectionTable, EndedLaunch, dialogue_id};
+use crate::ended_calls::EndedCalls;
 use crate::feed::{Event, Feed};
 use crate::liveness::{CoreConnectionFigures, Liveness};
 use crate::{CloseMode, Net, SocketId};
@@ -23,10 +23,6 @@
 /// Interval between checks of connections and incarnations.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Causes with which calls that were not held have ended, in case a caller reports such a call as standing; and
-/// the order in which they are removed.
-type RememberedEnds = (HashMap<Tag, u8>, VecDeque<Tag>);
-
 /// The platform's edge proxy without I/O: connections, feed, and the edge that holds the dialogues.
 pub struct Platform {
     edge: Edge,
@@ -40,7 +36,7 @@
     classes: HashMap<String, u16>,
     widths: Vec<f64>,
     first_choices: std::collections::BTreeSet<i64>,
-    remembered_ends: RememberedEnds,
+    ended_calls: EndedCalls,
     is_ready: bool,
     shutdown_since: Option<Duration>,
     /// How long after the shutdown request outstanding work is still waited for.
@@ -53,6 +49,7 @@
     pub fn new(now: Duration, unix_ms: f64, config: Config) -> Self {
         let Config { bounds, classes, plan, .. } = config;
         let max_cut_off = plan.products.iter().map(|p| p.redial_window).max().unwrap_or_default();
+        let ended_calls = EndedCalls::new(bounds.remembered_ends);
         let edge = Edge::new(&config.name, "", plan, config.seed, bounds.edge.clone());
         let classes_by_name =
             classes.iter().enumerate().map(|(place, name)| (name.clone(), place as u16)).collect();
@@ -67,7 +64,7 @@
             classes: classes_by_name,
             widths: config.widths,
             first_choices: config.first_choices,
-            remembered_ends: RememberedEnds::default(),
+            ended_calls,
             is_ready: false,
             shutdown_since: None,
             shutdown_limit: shutdown::shutdown_limit(max_cut_off),
@@ -110,6 +107,11 @@
         )
     }
 
+    /// Numbers of remembered ends of calls that are not held: owed to their callers, and repeated.
+    pub fn remembered_ends(&self) -> (usize, usize) {
+        self.ended_calls.sizes()
+    }
+
     /// How well the connections to core servers deliver.
     pub fn core_connection_figures(&self, now: Duration) -> CoreConnectionFigures {
         let up = self.connections.cores.values().filter(|core| core.is_up);
@@ -174,9 +176,7 @@
             (incarnation.last_activity, incarnation.last_up_at) = (now, now);
             (incarnation.connect_timeouts, incarnation.last_connect_failed) = (0, false);
             incarnation.end_lost_at = incarnation.end_lost_at.filter(|lost_at| started < *lost_at);
-            for tag in std::mem::take(&mut incarnation.releases) {
-                self.connections.send_finish(net, socket, tag);
-            }
+            self.connections.send_waiting_releases(net, socket, link);
         }
         self.process_pending(net);
     }
--- a/crates/platform/src/sessions/callers.rs
+++ b/crates/platform/src/sessions/callers.rs
@@ -192,7 +192,7 @@
         let call =
             |is_open: bool| Call { caller: socket, is_open, stands: false, description_bytes, core: None };
         if let Some(server) = start.standing_at {
-            if let Some(cause) = self.remembered_ends.0.remove(&tag) {
+            if let Some(cause) = self.ended_calls.take(tag, &server) {
                 return self.connections.release_caller(net, tag, cause, Some(socket));
             }
             let server = ServerId(Arc::from(server));
--- a/crates/platform/src/sessions/core_servers.rs
+++ b/crates/platform/src/sessions/core_servers.rs
@@ -9,6 +9,7 @@
 use super::Platform;
 use crate::codec::{self, BinaryMessage, Framing, MessageSplitter, Tag, cause, code, kind};
 use crate::connections::dialogue_id;
+use crate::ended_calls::CallEnd;
 use crate::{CloseMode, Net, SocketId};
 
 /// Copies of one load report arrive on all connections within this time.
@@ -230,15 +231,14 @@
         {
             return;
         }
+        let Some(incarnation) = self.connections.incarnations.get(&link) else { return };
         let cause = if end == DialogueEnd::Released { cause::NORMAL } else { cause::RESET };
-        let (ends, order) = &mut self.remembered_ends;
-        if ends.insert(tag, cause).is_none() {
-            order.push_back(tag);
-        }
-        while order.len() > self.connections.bounds.remembered_ends {
-            if let Some(oldest) = order.pop_front() {
-                ends.remove(&oldest);
-            }
+        let end = CallEnd { server: incarnation.host.clone(), cause };
+        let forgotten = self.ended_calls.insert(tag, end, self.edge.is_concluded(&id));
+        if let Some(forgotten) = forgotten {
+            net.log(&format!(
+                "end of {forgotten} forgotten: too many calls ended that no caller has reported"
+            ));
         }
     }
 
