Platform: a control feed that answers late is waited for, and unread input is no silence

Cause: 1.6 s, the limit between two lines of a working connection, was counted from the start of the connect, so that a feed that answers later than that was left and asked again for ever. And the judgement by silence of the feed, of a whole core server and of one gone from the list did not look at input that was waiting to be read.

Why this works: a connection that has delivered is judged as before; a request that has waited longest is kept for 16 s while others are tried beside it every 1.6 s, two in all; the first that delivers is used.

--- a/crates/platform/src/feed.rs
+++ b/crates/platform/src/feed.rs
@@ -1,15 +1,21 @@
 //! The control feed: numbered changes to the list of core servers. The number of the last event applied is
-//! stored, so that a repeated event is skipped and a missing one is detected.
+//! stored, so that a repeated event is skipped and a missing one is detected, on whichever connection it arrives.
 
 use std::time::Duration;
 
 use lotussaddle::interface::ServerState;
 use serde::Deserialize;
 
+use crate::SocketId;
 use crate::codec::{Framing, MessageSplitter};
 
-/// A number is sent each second; the feed counts as unresponsive if nothing is received for this long.
+/// A number is sent each second: a connection that has delivered a line counts as unresponsive if none follows for this
+/// long. Also the time in which a connection must come up, and between attempts while the feed does not answer.
 const FEED_TIMEOUT: Duration = Duration::from_millis(1600);
+/// A request that was not answered for this long is given up, although a feed may be slow to answer.
+const FIRST_LINE_TIMEOUT: Duration = Duration::from_secs(16);
+/// Maximum number of connections while none has delivered a line.
+const MAX_FEED_CONNECTIONS: usize = 2;
 /// Pause between two connection attempts.
 const FEED_RECONNECT_DELAY: Duration = Duration::from_millis(150);
 /// Maximum length of a line.
@@ -83,11 +89,26 @@
     }
 }
 
-/// The reader's state of the connection to the feed.
+/// A connection to the feed.
+struct FeedConnection {
+    socket: SocketId,
+    started_at: Duration,
+    /// Whether it is established and the events have been requested.
+    is_up: bool,
+    /// When the last complete line was received.
+    last_line_at: Option<Duration>,
+    splitter: MessageSplitter,
+}
+
+/// The reader's state of the connections to the feed.
+///
+/// There is one connection once it has delivered a line. Until then the feed may be slow to answer: the request that
+/// has waited longest is kept, and beside it a further connection is tried at intervals, in case the first is of no
+/// use. Whichever delivers a line first is used.
 pub struct Feed {
     last_event: u64,
-    splitter: MessageSplitter,
-    last_received: Duration,
+    /// In the order in which they were started.
+    connections: Vec<FeedConnection>,
     retry_at: Duration,
 }
 
@@ -98,8 +119,7 @@
 impl Feed {
     /// `last_event` is the number of the last event known.
     pub fn new(last_event: u64) -> Self {
-        let splitter = MessageSplitter::new(Framing::LinesUpTo(MAX_FEED_LINE_BYTES));
-        Self { last_event, splitter, last_received: Duration::ZERO, retry_at: Duration::ZERO }
+        Self { last_event, connections: Vec::new(), retry_at: Duration::ZERO }
     }
 
     /// Number of the last event applied.
@@ -107,55 +127,125 @@
         self.last_event
     }
 
-    /// The connection ended or did not come up. An incomplete line is discarded.
-    pub fn connection_lost(&mut self, now: Duration) {
-        self.splitter = MessageSplitter::new(Framing::LinesUpTo(MAX_FEED_LINE_BYTES));
+    /// Whether this is a connection to the feed.
+    pub fn has_connection(&self, socket: SocketId) -> bool {
+        self.connections.iter().any(|connection| connection.socket == socket)
+    }
+
+    /// A connection attempt has started.
+    pub fn connect_started(&mut self, now: Duration, socket: SocketId) {
+        self.connections.push(FeedConnection {
+            socket,
+            started_at: now,
+            is_up: false,
+            last_line_at: None,
+            splitter: MessageSplitter::new(Framing::LinesUpTo(MAX_FEED_LINE_BYTES)),
+        });
+    }
+
+    /// A connection is established. Returns the line that requests all later events.
+    pub fn connection_up(&mut self, socket: SocketId) -> Vec<u8> {
+        if let Some(connection) = self.connection_mut(socket) {
+            connection.is_up = true;
+        }
+        format!("SUB {}\n", self.last_event).into_bytes()
+    }
+
+    /// A connection ended or did not come up. An incomplete line is discarded.
+    pub fn connection_lost(&mut self, now: Duration, socket: SocketId) {
+        self.connections.retain(|connection| connection.socket != socket);
         self.retry_at = now + FEED_RECONNECT_DELAY;
     }
 
-    /// When to try the next connection after a loss.
-    pub fn retry_at(&self) -> Duration {
-        self.retry_at
+    /// No connection could be started.
+    pub fn connect_failed(&mut self, now: Duration) {
+        self.retry_at = now + FEED_RECONNECT_DELAY;
     }
 
-    /// A connection attempt has started.
-    pub fn connect_started(&mut self, now: Duration) {
-        self.last_received = now;
+    /// Removes all connections, and returns them for closing: the feed has another address.
+    pub fn take_connections(&mut self) -> Vec<SocketId> {
+        std::mem::take(&mut self.connections).into_iter().map(|connection| connection.socket).collect()
     }
 
-    /// The line that requests all later events.
-    pub fn subscribe_line(&self) -> Vec<u8> {
-        format!("SUB {}\n", self.last_event).into_bytes()
+    /// Whether a connection is to be started now.
+    pub fn wants_connection(&self, now: Duration) -> bool {
+        let Some(newest) = self.connections.last() else { return now >= self.retry_at };
+        let has_delivered = self.connections.iter().any(|connection| connection.last_line_at.is_some());
+        !has_delivered
+            && self.connections.len() < MAX_FEED_CONNECTIONS
+            && now >= self.retry_at.max(newest.started_at + FEED_TIMEOUT)
+    }
+
+    /// When a connection counts as unresponsive unless a line is received on it before; `None` if there is no such
+    /// connection.
+    pub fn timeout_at(&self, socket: SocketId) -> Option<Duration> {
+        let connection = self.connections.iter().find(|connection| connection.socket == socket)?;
+        let is_waiting = |connection: &&FeedConnection| connection.is_up && connection.last_line_at.is_none();
+        let longest_waiting = self.connections.iter().find(is_waiting).map(|waiting| waiting.socket);
+        Some(match connection.last_line_at {
+            Some(last_line_at) => last_line_at + FEED_TIMEOUT,
+            None if longest_waiting == Some(socket) => connection.started_at + FIRST_LINE_TIMEOUT,
+            None => connection.started_at + FEED_TIMEOUT,
+        })
     }
 
-    /// When the feed counts as unresponsive unless something is received before.
-    pub fn timeout_at(&self) -> Duration {
-        self.last_received + FEED_TIMEOUT
+    /// The connections that count as unresponsive.
+    pub fn unresponsive(&self, now: Duration) -> Vec<SocketId> {
+        let sockets = self.connections.iter().map(|connection| connection.socket);
+        sockets
+            .filter(|socket| self.timeout_at(*socket).is_some_and(|timeout_at| now >= timeout_at))
+            .collect()
     }
 
-    /// Handles received bytes; appends each new event once and in order.
-    pub fn receive(&mut self, now: Duration, bytes: &[u8], events: &mut Vec<Event>) -> Result<(), FeedError> {
+    /// Handles received bytes; appends each new event once and in order. Returns the other connections, which are to
+    /// be closed, if this one has delivered a line.
+    pub fn receive(
+        &mut self, now: Duration, socket: SocketId, bytes: &[u8], events: &mut Vec<Event>,
+    ) -> Result<Vec<SocketId>, FeedError> {
+        let mut last_event = self.last_event;
+        let Some(connection) = self.connection_mut(socket) else { return Ok(Vec::new()) };
+        let read = connection.read_lines(now, bytes, &mut last_event, events);
+        let has_delivered = connection.last_line_at == Some(now);
+        self.last_event = last_event;
+        read?;
+        if !has_delivered {
+            return Ok(Vec::new());
+        }
+        let others = self.connections.extract_if(.., |connection| connection.socket != socket);
+        Ok(others.map(|connection| connection.socket).collect())
+    }
+
+    fn connection_mut(&mut self, socket: SocketId) -> Option<&mut FeedConnection> {
+        self.connections.iter_mut().find(|connection| connection.socket == socket)
+    }
+}
+
+impl FeedConnection {
+    /// Splits received bytes into lines; appends each event that follows `last_event`.
+    fn read_lines(
+        &mut self, now: Duration, bytes: &[u8], last_event: &mut u64, events: &mut Vec<Event>,
+    ) -> Result<(), FeedError> {
         self.splitter.push(bytes);
         while let Some(line) = self.splitter.next_message().map_err(FeedError)? {
             if line.iter().all(u8::is_ascii_whitespace) {
                 continue;
             }
-            self.last_received = now;
+            self.last_line_at = Some(now);
             if let Ok(number) = serde_json::from_slice::<u64>(line) {
-                if number > self.last_event {
+                if number > *last_event {
                     return Err(FeedError("an event is missing"));
                 }
                 continue;
             }
             let event: Event =
                 serde_json::from_slice(line).map_err(|_| FeedError("a line is not an event"))?;
-            if event.n <= self.last_event {
+            if event.n <= *last_event {
                 continue; // A repeated event.
             }
-            if event.n > self.last_event + 1 {
+            if event.n > *last_event + 1 {
                 return Err(FeedError("an event is missing"));
             }
-            self.last_event = event.n;
+            *last_event = event.n;
             events.push(event);
         }
         Ok(())
--- a/crates/platform/src/sessions.rs
+++ b/crates/platform/src/sessions.rs
@@ -29,7 +29,6 @@
     connections: ConnectionTable,
     feed: Feed,
     feed_address: SocketAddr,
-    feed_socket: Option<SocketId>,
     known_events: Vec<Event>,
     /// The reading of this clock at the Unix epoch, in milliseconds: far below zero.
     unix_zero_ms: f64,
@@ -58,7 +57,6 @@
             connections: ConnectionTable::new(bounds, config.connect_timeout, config.idle_timeout, classes),
             feed: Feed::new(config.known_events.n),
             feed_address: config.feed,
-            feed_socket: None,
             known_events: config.known_events.events,
             unix_zero_ms: now.as_secs_f64() * 1000.0 - unix_ms,
             classes: classes_by_name,
@@ -152,9 +150,8 @@
             self.feed.last_event()
         ));
         self.feed_address = to;
-        if let Some(socket) = self.feed_socket.take() {
+        for socket in self.feed.take_connections() {
             net.close(socket, CloseMode::Now);
-            self.feed.connection_lost(now);
         }
         self.connect_feed(net);
     }
@@ -164,8 +161,8 @@
     /// A connection started by this side is established.
     pub fn connection_up(&mut self, now: Duration, socket: SocketId, net: &mut dyn Net) {
         self.connections.now = now;
-        if self.feed_socket == Some(socket) {
-            net.send(socket, &self.feed.subscribe_line());
+        if self.feed.has_connection(socket) {
+            net.send(socket, &self.feed.connection_up(socket));
             return;
         }
         let Some(core) = self.connections.cores.get_mut(&socket) else { return };
@@ -197,8 +194,8 @@
         &mut self, now: Duration, socket: SocketId, refused: bool, reason: &str, net: &mut dyn Net,
     ) {
         self.connections.now = now;
-        if self.feed_socket == Some(socket) {
-            self.feed_lost(reason, net);
+        if self.feed.has_connection(socket) {
+            self.feed_lost(socket, reason, net);
         } else if self.connections.callers.contains_key(&socket) {
             self.caller_lost(socket, net);
         } else {
@@ -210,16 +207,8 @@
     /// Bytes were received on a connection.
     pub fn bytes_received(&mut self, now: Duration, socket: SocketId, bytes: &[u8], net: &mut dyn Net) {
         self.connections.now = now;
-        if self.feed_socket == Some(socket) {
-            let mut events = Vec::new();
-            let read = self.feed.receive(now, bytes, &mut events);
-            for event in events {
-                self.apply_event(event, net);
-            }
-            if let Err(error) = read {
-                net.close(socket, CloseMode::Now);
-                self.feed_lost(error.0, net);
-            }
+        if self.feed.has_connection(socket) {
+            self.feed_bytes_received(socket, bytes, net);
         } else if self.connections.callers.contains_key(&socket) {
             self.caller_bytes_received(socket, bytes, net);
         } else {
--- a/crates/platform/src/sessions/core_connections.rs
+++ b/crates/platform/src/sessions/core_connections.rs
@@ -166,12 +166,15 @@
     }
 
     /// Ends an incarnation that has died or, if it is not listed any more, is of no more use. Returns whether
-    /// nothing is left to be done for it in this sweep.
+    /// nothing is left to be done for it in this sweep. Input that waits to be read, for example because this process
+    /// was paused, is no silence.
     fn end_dead_incarnation(&mut self, link: LinkId, net: &mut dyn Net) -> bool {
         let now = self.connections.now;
         let held_count = self.edge.dialogues_on_link(link);
         let Some(incarnation) = self.connections.incarnations.get(&link) else { return true };
-        let unresponsive_for = now.saturating_sub(incarnation.last_activity);
+        let has_unread = incarnation.sockets.iter().any(|socket| net.has_unread(*socket));
+        let unresponsive_for =
+            if has_unread { Duration::ZERO } else { now.saturating_sub(incarnation.last_activity) };
         if incarnation.is_gone {
             let is_over =
                 held_count == 0 || incarnation.sockets.is_empty() || unresponsive_for >= DELISTED_DEAD_AFTER;
--- a/crates/platform/src/sessions/feed_events.rs
+++ b/crates/platform/src/sessions/feed_events.rs
@@ -11,7 +11,7 @@
 use super::Platform;
 use crate::cores::Incarnation;
 use crate::feed::{Event, Host};
-use crate::{CloseMode, Net};
+use crate::{CloseMode, Net, SocketId};
 
 impl Platform {
     pub(super) fn apply_event(&mut self, event: Event, net: &mut dyn Net) {
@@ -83,35 +83,51 @@
         })
     }
 
-    pub(super) fn connect_feed(&mut self, net: &mut dyn Net) {
-        if self.feed_socket.is_none() {
-            self.feed.connect_started(self.connections.now);
-            self.feed_socket = net.connect(self.feed_address);
-            if self.feed_socket.is_none() && self.close_least_used_caller(net) {
-                // Idle callers hold all descriptors; the list is more important than one of them.
-                self.feed_socket = net.connect(self.feed_address);
-            }
-            if self.feed_socket.is_none() {
-                self.feed.connection_lost(self.connections.now);
+    /// Bytes were received on a connection to the feed.
+    pub(super) fn feed_bytes_received(&mut self, socket: SocketId, bytes: &[u8], net: &mut dyn Net) {
+        let mut events = Vec::new();
+        let read = self.feed.receive(self.connections.now, socket, bytes, &mut events);
+        for event in events {
+            self.apply_event(event, net);
+        }
+        match read {
+            Ok(superseded) => superseded.into_iter().for_each(|other| net.close(other, CloseMode::Now)),
+            Err(error) => {
+                net.close(socket, CloseMode::Now);
+                self.feed_lost(socket, error.0, net);
             }
         }
     }
 
-    pub(super) fn feed_lost(&mut self, reason: &str, net: &mut dyn Net) {
+    pub(super) fn connect_feed(&mut self, net: &mut dyn Net) {
+        let now = self.connections.now;
+        let mut socket = net.connect(self.feed_address);
+        if socket.is_none() && self.close_least_used_caller(net) {
+            // Idle callers hold all descriptors; the list is more important than one of them.
+            socket = net.connect(self.feed_address);
+        }
+        match socket {
+            Some(socket) => self.feed.connect_started(now, socket),
+            None => self.feed.connect_failed(now),
+        }
+    }
+
+    pub(super) fn feed_lost(&mut self, socket: SocketId, reason: &str, net: &mut dyn Net) {
         net.log(&format!("feed connection lost after event {}: {reason}", self.feed.last_event()));
-        self.feed_socket = None;
-        self.feed.connection_lost(self.connections.now);
+        self.feed.connection_lost(self.connections.now, socket);
     }
 
+    /// Closes connections to the feed that are unresponsive, and starts one that is wanted. Input that waits to be read,
+    /// for example because this process was paused, is read before its connection is judged.
     pub(super) fn sweep_feed(&mut self, net: &mut dyn Net) {
         let now = self.connections.now;
-        if let Some(socket) = self.feed_socket
-            && now >= self.feed.timeout_at()
-        {
-            net.close(socket, CloseMode::Now);
-            self.feed_lost("unresponsive", net);
+        for socket in self.feed.unresponsive(now) {
+            if !net.has_unread(socket) {
+                net.close(socket, CloseMode::Now);
+                self.feed_lost(socket, "unresponsive", net);
+            }
         }
-        if self.feed_socket.is_none() && now >= self.feed.retry_at() {
+        if self.feed.wants_connection(now) {
             self.connect_feed(net);
         }
     }
