Platform: a set-up sent again on a new connection is carried on, answered or launched again

Cause: `handle_start` took every held identifier for a duplicate and closed the connection; what was concluded with its connection was declined by the edge.

Evidence: the first launch was out when the second set-up came, and `reject_message` closed without a word.

Why this works: the same set-up on another connection is carried on and both connections are answered; an answer given within 100 ms before is sent again; what was given up is launched again after the release time since its cancel. What asks for something else closes its connection as before.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -133,6 +133,11 @@
         self.state.concluded.add(self.state.now, dialogue, &self.state.limits);
     }
 
+    /// Forgets that a dialogue was concluded, so that it may be dialled again.
+    pub fn forget_concluded(&mut self, dialogue: &DialogueId) {
+        self.state.concluded.remove(dialogue);
+    }
+
     /// Whether a dialogue is remembered as concluded.
     pub fn is_concluded(&self, dialogue: &DialogueId) -> bool {
         self.state.concluded.contains(dialogue)
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -62,6 +62,8 @@
 /// happens beyond it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Bounds {
+    /// Total bytes of the answers kept for a moment in case their set-ups are sent again.
+    pub recent_answer_bytes: usize,
     /// Number of connections from callers.
     pub caller_connections: usize,
     /// Number of connections to all core servers together.
@@ -91,6 +93,7 @@
         // A held dialogue takes about 1 KiB in this process, a remembered one 200 bytes.
         let dialogues = memory / 8 / 1024;
         Self {
+            recent_answer_bytes: memory / 64,
             caller_connections: sockets / 2,
             core_connections: sockets / 4,
             connections_per_core: 4,
--- a/crates/platform/src/connections.rs
+++ b/crates/platform/src/connections.rs
@@ -14,6 +14,7 @@
 use crate::codec::{self, MessageSplitter, MessageToCaller, Tag};
 use crate::config::Bounds;
 use crate::cores::{CoreConnection, Incarnation};
+use crate::recent_set_ups::{Ending, Fingerprint, RecentSetUp, RecentSetUps};
 use crate::{Net, SocketId};
 
 use caller_releases::PendingRelease;
@@ -48,8 +49,15 @@
 
 /// Where a held call came from, and which connection carries its launch.
 pub struct Call {
+    /// What its set-up asks for.
+    pub fingerprint: Fingerprint,
+    /// Whether its set-up was sent to a core server.
+    pub was_launched: bool,
     /// The connection on which it was received.
     pub caller: SocketId,
+    /// Another connection on which it was sent again: the first one may have ended for its caller, or may not, so both
+    /// are sent what its caller is owed.
+    pub repeated_on: Option<SocketId>,
     /// Whether it has no final answer yet; its description is held until then.
     pub is_open: bool,
     /// Whether the call stands.
@@ -60,6 +68,13 @@
     pub core: Option<(LinkId, SocketId)>,
 }
 
+impl Call {
+    /// The connections on which its set-up was received.
+    pub fn sockets(&self) -> impl Iterator<Item = SocketId> + use<> {
+        std::iter::once(self.caller).chain(self.repeated_on)
+    }
+}
+
 /// A launch that ended without a message from the core server.
 pub struct EndedLaunch {
     /// The link to the incarnation.
@@ -92,6 +107,8 @@
     pub incarnations: BTreeMap<LinkId, Incarnation>,
     /// Held calls.
     pub calls: HashMap<Tag, Call>,
+    /// Set-ups that have just ended, in case they are sent again.
+    pub recent_set_ups: RecentSetUps,
     /// Total bytes of the descriptions held.
     pub held_description_bytes: usize,
     /// The logical link to the feed, once it exists.
@@ -127,8 +144,10 @@
     pub fn new(
         bounds: Bounds, connect_timeout: Duration, idle_timeout: Duration, classes: Vec<String>,
     ) -> Self {
+        let recent_set_ups = RecentSetUps::new(bounds.edge.max_dialogues, bounds.recent_answer_bytes);
         Self {
             now: Duration::ZERO,
+            recent_set_ups,
             bounds,
             connect_timeout,
             idle_timeout,
@@ -155,36 +174,80 @@
         PlatformEffects { connections: self, net }
     }
 
-    /// Marks a call as answered or given up and releases its description. Returns the caller's connection.
-    pub fn close_call(&mut self, tag: Tag) -> Option<SocketId> {
-        let call = self.calls.get_mut(&tag)?;
-        if std::mem::take(&mut call.is_open) {
-            self.held_description_bytes -= std::mem::take(&mut call.description_bytes);
-            if let Some(caller) = self.callers.get_mut(&call.caller) {
+    /// Marks a call as answered or given up and releases its description.
+    pub fn close_call(&mut self, tag: Tag) {
+        let Some(call) = self.calls.get_mut(&tag).filter(|call| call.is_open) else { return };
+        call.is_open = false;
+        self.held_description_bytes -= std::mem::take(&mut call.description_bytes);
+        for socket in call.sockets() {
+            if let Some(caller) = self.callers.get_mut(&socket) {
                 caller.open_set_ups.remove(&tag);
             }
         }
-        Some(call.caller)
     }
 
-    /// Removes a call. Returns the caller's connection.
-    pub fn remove_call(&mut self, tag: Tag) -> Option<SocketId> {
-        let socket = self.close_call(tag)?;
-        let call = self.calls.remove(&tag)?;
-        if call.stands
-            && let Some(caller) = self.callers.get_mut(&socket)
-        {
-            (caller.standing_calls, caller.last_used) = (caller.standing_calls - 1, self.now);
+    /// The set-up of a call ends in this way: keeps it for a moment, in case it is sent again.
+    pub fn remember_ending(&mut self, tag: Tag, ending: Ending) {
+        let Some(call) = self.calls.get(&tag).filter(|call| call.is_open) else { return };
+        let recent = RecentSetUp { fingerprint: call.fingerprint, caller: call.caller, ending };
+        self.recent_set_ups.insert(self.now, tag, recent);
+    }
+
+    /// The set-up of a call was sent again on another connection of its caller.
+    pub fn add_repeat(&mut self, tag: Tag, socket: SocketId) {
+        let Some(call) = self.calls.get_mut(&tag) else { return };
+        let previous = call.repeated_on.replace(socket);
+        let (is_open, standing) = (call.is_open, usize::from(call.stands));
+        if let Some(caller) = previous.and_then(|previous| self.callers.get_mut(&previous)) {
+            caller.open_set_ups.remove(&tag);
+            caller.standing_calls -= standing;
+        }
+        if let Some(caller) = self.callers.get_mut(&socket) {
+            caller.standing_calls += standing;
+            if is_open {
+                caller.open_set_ups.insert(tag);
+            }
+        }
+    }
+
+    /// A connection was lost on which the set-up of a call was received. Returns whether the set-up is open on another
+    /// connection, on which it was sent again.
+    pub fn is_open_elsewhere(&mut self, tag: Tag, lost: SocketId) -> bool {
+        let Some(call) = self.calls.get_mut(&tag) else { return false };
+        if call.caller == lost {
+            let Some(other) = call.repeated_on.take() else { return false };
+            call.caller = other;
+        } else if call.repeated_on == Some(lost) {
+            call.repeated_on = None;
+        }
+        self.callers.contains_key(&call.caller)
+    }
+
+    /// The open connections on which the set-up of a call was received.
+    pub fn callers_of(&self, tag: Tag) -> Vec<SocketId> {
+        let sockets = self.calls.get(&tag).map(Call::sockets).into_iter().flatten();
+        sockets.filter(|socket| self.callers.contains_key(socket)).collect()
+    }
+
+    /// Removes a call.
+    pub fn remove_call(&mut self, tag: Tag) {
+        self.close_call(tag);
+        let Some(call) = self.calls.remove(&tag).filter(|call| call.stands) else { return };
+        for socket in call.sockets() {
+            if let Some(caller) = self.callers.get_mut(&socket) {
+                (caller.standing_calls, caller.last_used) = (caller.standing_calls - 1, self.now);
+            }
         }
-        Some(socket)
     }
 
     /// Marks a call as standing, which keeps its caller's connection open.
     pub fn mark_standing(&mut self, tag: Tag) {
         let Some(call) = self.calls.get_mut(&tag).filter(|call| !call.stands) else { return };
         call.stands = true;
-        if let Some(caller) = self.callers.get_mut(&call.caller) {
-            caller.standing_calls += 1;
+        for socket in call.sockets() {
+            if let Some(caller) = self.callers.get_mut(&socket) {
+                caller.standing_calls += 1;
+            }
         }
     }
 
@@ -203,6 +266,14 @@
         sent
     }
 
+    /// Sends a caller the answer that its call stands.
+    pub fn send_answer(&mut self, net: &mut dyn Net, socket: SocketId, tag: Tag, description: &str) {
+        let sent = self.send_to_caller(net, socket, tag, MessageToCaller::Started(description));
+        if let Some(caller) = self.callers.get_mut(&socket).filter(|_| sent) {
+            caller.has_been_answered = true;
+        }
+    }
+
     fn new_link(&mut self) -> LinkId {
         self.next_link += 1;
         let link = LinkId(self.next_link);
--- a/crates/platform/src/connections/effects.rs
+++ b/crates/platform/src/connections/effects.rs
@@ -8,6 +8,7 @@
 use crate::Net;
 use crate::codec::{MessageToCaller, cause, code};
 use crate::cores::Incarnation;
+use crate::recent_set_ups::Ending;
 
 /// The connection table and the network, through which the edge carries out the effects of one input.
 pub struct PlatformEffects<'a> {
@@ -29,45 +30,27 @@
                 let description = message.extra.iter().find(|e| e.tag == code::DESCRIPTION);
                 let description =
                     description.and_then(|e| std::str::from_utf8(&e.value).ok()).unwrap_or_default();
-                let socket = connections.close_call(tag);
+                connections.remember_ending(tag, Ending::Stands(description.to_owned()));
+                connections.close_call(tag);
                 connections.mark_standing(tag);
-                if let Some(socket) = socket
-                    && connections.send_to_caller(net, socket, tag, MessageToCaller::Started(description))
-                    && let Some(caller) = connections.callers.get_mut(&socket)
-                {
-                    caller.has_been_answered = true;
+                for socket in connections.callers_of(tag) {
+                    connections.send_answer(net, socket, tag, description);
                 }
             }
             Frame::Refused { dialogue, retry_after } => {
                 let wait_ms = retry_after.map(|time| time.as_millis() as u64);
-                send_final_answer(
-                    connections,
-                    net,
-                    &dialogue,
-                    MessageToCaller::Finish { cause: cause::FULL, wait_ms },
-                );
-            }
-            Frame::Failed { dialogue } => {
-                send_final_answer(
-                    connections,
-                    net,
-                    &dialogue,
-                    MessageToCaller::Finish { cause: cause::RESET, wait_ms: None },
-                );
+                refuse(connections, net, &dialogue, cause::FULL, wait_ms);
             }
+            Frame::Failed { dialogue } => refuse(connections, net, &dialogue, cause::RESET, None),
             Frame::Declined { dialogue, why, .. } => {
                 let cause = if why == DeclineReason::Full { cause::CONGESTION } else { cause::UNUSABLE };
-                send_final_answer(
-                    connections,
-                    net,
-                    &dialogue,
-                    MessageToCaller::Finish { cause, wait_ms: None },
-                );
+                refuse(connections, net, &dialogue, cause, None);
             }
             Frame::Over { dialogue, end } => {
                 let tag = tag_of(&dialogue);
                 let cause = if end == DialogueEnd::Released { cause::NORMAL } else { cause::RESET };
-                let own_socket = connections.remove_call(tag);
+                let own_socket = connections.callers_of(tag).first().copied();
+                connections.remove_call(tag);
                 connections.release_caller(net, tag, cause, own_socket);
             }
             _ => {}
@@ -97,11 +80,15 @@
     }
 }
 
-fn send_final_answer(
-    connections: &mut ConnectionTable, net: &mut dyn Net, dialogue: &DialogueId, message: MessageToCaller,
+fn refuse(
+    connections: &mut ConnectionTable, net: &mut dyn Net, dialogue: &DialogueId, cause: u8,
+    wait_ms: Option<u64>,
 ) {
     let tag = tag_of(dialogue);
-    if let Some(socket) = connections.remove_call(tag) {
-        connections.send_to_caller(net, socket, tag, message);
+    connections.remember_ending(tag, Ending::Refused { cause, wait_ms });
+    let sockets = connections.callers_of(tag);
+    connections.remove_call(tag);
+    for socket in sockets {
+        connections.send_to_caller(net, socket, tag, MessageToCaller::Finish { cause, wait_ms });
     }
 }
--- a/crates/platform/src/connections/launches.rs
+++ b/crates/platform/src/connections/launches.rs
@@ -67,11 +67,11 @@
             for set_up in std::mem::take(&mut core.unsent_set_ups) {
                 let tag = set_up.tag;
                 let Some(launch) = core.open_launches.get(&tag).map(|launch| launch.number) else { continue };
-                let Some(call) = self.calls.get(&tag) else {
+                let Some(call) = self.calls.get_mut(&tag) else {
                     core.open_launches.remove(&tag); // The caller has given up.
                     continue;
                 };
-                if self.now < set_up.deadline && net.has_unread(call.caller) {
+                if self.now < set_up.deadline && call.sockets().any(|caller| net.has_unread(caller)) {
                     held_back.push(set_up);
                     continue;
                 }
@@ -93,6 +93,7 @@
                     self.ended_launches.push_back(EndedLaunch { link, tag, launch, outcome });
                     ended = true;
                 } else {
+                    call.was_launched = true;
                     core.set_up_sent(tag, self.now);
                 }
             }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod ended_calls;
 pub mod feed;
 pub mod liveness;
+pub mod recent_set_ups;
 mod sessions;
 
 pub use config::{Bounds, Config, ConfigError, EPOCH, feed_address};
--- a/crates/platform/src/sessions.rs
+++ b/crates/platform/src/sessions.rs
@@ -4,15 +4,17 @@
 mod core_connections;
 mod core_servers;
 mod feed_events;
+mod set_ups;
 mod shutdown;
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use lotussaddle::interface::*;
 use lotussaddle_edge::{Counts, Edge};
 
+use crate::codec::Tag;
 use crate::config::Config;
 use crate::connections::{CALLERS, ConnectionTable, EndedLaunch, dialogue_id};
 use crate::ended_calls::EndedCalls;
@@ -20,6 +22,8 @@
 use crate::liveness::{CoreConnectionFigures, Liveness};
 use crate::{CloseMode, Net, SocketId};
 
+use set_ups::DeferredSetUp;
+
 /// Interval between checks of connections and incarnations.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -36,6 +40,9 @@
     widths: Vec<f64>,
     first_choices: std::collections::BTreeSet<i64>,
     ended_calls: EndedCalls,
+    deferred_set_ups: BTreeMap<Tag, DeferredSetUp>,
+    /// Time after the end of a launch within which none for the same call may begin.
+    release_time: Duration,
     is_ready: bool,
     shutdown_since: Option<Duration>,
     /// How long after the shutdown request outstanding work is still waited for.
@@ -48,6 +55,7 @@
     pub fn new(now: Duration, unix_ms: f64, config: Config) -> Self {
         let Config { bounds, classes, plan, .. } = config;
         let max_cut_off = plan.products.iter().map(|p| p.redial_window).max().unwrap_or_default();
+        let release_time = plan.release_time;
         let ended_calls = EndedCalls::new(bounds.remembered_ends);
         let edge = Edge::new(&config.name, "", plan, config.seed, bounds.edge.clone());
         let classes_by_name =
@@ -63,6 +71,8 @@
             widths: config.widths,
             first_choices: config.first_choices,
             ended_calls,
+            deferred_set_ups: BTreeMap::new(),
+            release_time,
             is_ready: false,
             shutdown_since: None,
             shutdown_limit: shutdown::shutdown_limit(max_cut_off),
@@ -118,13 +128,15 @@
 
     /// When [`Self::timer_fired`] must be called next.
     pub fn next_due(&self) -> Duration {
-        self.edge.next_due().min(self.sweep_at)
+        let next = self.edge.next_due().min(self.sweep_at);
+        self.deferred_due().map_or(next, |due| next.min(due))
     }
 
     /// The time returned by [`Self::next_due`] has been reached.
     pub fn timer_fired(&mut self, now: Duration, net: &mut dyn Net) {
         self.connections.now = now;
         self.edge.timer_fired(now, &mut self.connections.effects(net));
+        self.launch_deferred(net);
         self.process_pending(net);
         if self.sweep_at <= now {
             self.sweep_at = now + SWEEP_INTERVAL;
@@ -187,6 +199,7 @@
             self.process_pending(net);
         }
         self.process_pending(net);
+        self.connections.recent_set_ups.expire(now);
     }
 
     /// A connection has ended or did not come up; `refused` if nothing listens at the address.
--- a/crates/platform/src/sessions/callers.rs
+++ b/crates/platform/src/sessions/callers.rs
@@ -1,16 +1,15 @@
 //! Messages from callers, and the closing of their connections.
 
-use std::sync::Arc;
 use std::time::Duration;
 
-use lotussaddle::interface::*;
-use lotussaddle_trunk::{Dial, Extra, Frame, Message};
+use lotussaddle_trunk::Frame;
 
 use super::Platform;
 use crate::codec::{
-    self, CallerMessage, Framing, InvalidMessage, MessageSplitter, MessageToCaller, Start, Tag, cause, code,
+    self, CallerMessage, Framing, InvalidMessage, MessageSplitter, MessageToCaller, Tag, cause,
 };
-use crate::connections::{CALLERS, Call, CallerConnection, dialogue_id};
+use crate::connections::{CALLERS, CallerConnection, dialogue_id};
+use crate::recent_set_ups::Ending;
 use crate::{CloseMode, Net, SocketId};
 
 /// A connection is closed this long after it was accepted if it has sent no valid message, and this long after
@@ -150,83 +149,13 @@
         }
     }
 
-    pub(super) fn handle_start(&mut self, socket: SocketId, start: Start, net: &mut dyn Net) {
-        let (now, tag) = (self.connections.now, start.tag);
-        let invalid = |reason| InvalidMessage { tag: Some(tag), reason };
-        let Some(product) = self.classes.get(&start.class).copied() else {
-            return self.reject_message(socket, invalid("unknown class"), net);
-        };
-        if self.widths.get(usize::from(product)).is_some_and(|width| *width != start.width) {
-            return self.reject_message(socket, invalid("width does not match the class"), net);
-        }
-        if start.first_choice != -1
-            && !self.first_choices.is_empty()
-            && !self.first_choices.contains(&start.first_choice)
-        {
-            return self.reject_message(socket, invalid("unknown first choice"), net);
-        }
-        let id = dialogue_id(tag);
-        if self.edge.dialogue_stands(&id).is_some() {
-            if start.standing_at.is_none() {
-                self.reject_message(socket, invalid("call is already held"), net);
-            }
-            return;
-        }
-        let description_bytes = start.description.len();
-        let dial = Dial {
-            dialogue: id.clone(),
-            key: start.key.map(|key| DialledKey(Arc::from(key))),
-            product,
-            tenant: None,
-            first_choice: ServerNumber(start.first_choice),
-            width: start.width,
-            time_left: Duration::from_secs_f64(start.time_left_ms / 1000.0).min(self.remaining_time()),
-            is_retry: start.is_retry,
-            redialled_after_cut: start.redialled_after_cut,
-            is_repeat: false,
-            sent_at: None,
-            try_of: None,
-            dialled: None,
-        };
-        self.mark_valid(socket);
-        let call =
-            |is_open: bool| Call { caller: socket, is_open, stands: false, description_bytes, core: None };
-        if let Some(server) = start.standing_at {
-            if let Some(cause) = self.ended_calls.take(tag, &server) {
-                return self.connections.release_caller(net, tag, cause, Some(socket));
-            }
-            let server = ServerId(Arc::from(server));
-            let effects = &mut self.connections.effects(net);
-            if self.edge.adopt_standing(now, CALLERS, &dial, &server, effects) {
-                self.connections.calls.insert(tag, call(false));
-                self.connections.mark_standing(tag);
-            } else {
-                self.connections.release_caller(net, tag, cause::RESET, Some(socket));
-            }
-            return;
-        }
-        if self.connections.held_description_bytes + description_bytes
-            > self.connections.bounds.description_bytes
-            || dial.time_left.is_zero()
-        {
-            let message = MessageToCaller::Finish { cause: cause::CONGESTION, wait_ms: None };
-            self.connections.send_to_caller(net, socket, tag, message);
-            return;
-        }
-        self.connections.held_description_bytes += description_bytes;
-        self.connections.calls.insert(tag, call(true));
-        if let Some(caller) = self.connections.callers.get_mut(&socket) {
-            caller.open_set_ups.insert(tag);
-        }
-        let extra = vec![Extra { tag: code::DESCRIPTION, value: start.description.into_bytes() }];
-        let message = Message { frame: Frame::Dial(dial), extra };
-        self.edge.frame_received(now, CALLERS, message, &mut self.connections.effects(net));
-    }
-
     /// A set-up can be given up only on its own connection, a standing call on any.
     pub(super) fn handle_caller_finish(&mut self, socket: SocketId, tag: Tag, net: &mut dyn Net) {
+        if self.remove_deferred(tag, socket) {
+            return; // The set-up is given up before it was launched again.
+        }
         match self.edge.dialogue_stands(&dialogue_id(tag)) {
-            Some(false) if self.connections.calls.get(&tag).is_none_or(|call| call.caller != socket) => {
+            Some(false) if !self.connections.callers_of(tag).contains(&socket) => {
                 self.reject_message(
                     socket,
                     InvalidMessage { tag: Some(tag), reason: "set-up belongs to another connection" },
@@ -267,24 +196,36 @@
     /// Closes a caller's connection; the set-ups open on it are answered first if the answer can still be
     /// written.
     pub(super) fn close_caller(&mut self, socket: SocketId, how: CloseMode, net: &mut dyn Net) {
-        let open = self.connections.callers.get(&socket).filter(|_| how == CloseMode::AfterWriting);
-        for tag in open.map(|caller| caller.open_set_ups.clone()).unwrap_or_default() {
-            self.connections.send_to_caller(
-                net,
-                socket,
-                tag,
-                MessageToCaller::Finish { cause: cause::RESET, wait_ms: None },
-            );
+        if how == CloseMode::AfterWriting {
+            self.fail_open_set_ups(socket, net);
         }
         net.close(socket, how);
         self.caller_lost(socket, net);
     }
 
+    /// Answers the set-ups open on a connection that is about to be closed, unless they were sent again on another one.
+    fn fail_open_set_ups(&mut self, socket: SocketId, net: &mut dyn Net) {
+        let Some(caller) = self.connections.callers.get(&socket) else { return };
+        for tag in caller.open_set_ups.clone() {
+            if self.connections.callers_of(tag).len() > 1 {
+                continue;
+            }
+            self.connections.remember_ending(tag, Ending::Refused { cause: cause::RESET, wait_ms: None });
+            let message = MessageToCaller::Finish { cause: cause::RESET, wait_ms: None };
+            self.connections.send_to_caller(net, socket, tag, message);
+            self.take_deferred(tag);
+            self.hang_up(tag, net);
+        }
+    }
+
     /// Gives up the set-ups open on a lost connection; standing calls are not bound to a connection.
     pub(super) fn caller_lost(&mut self, socket: SocketId, net: &mut dyn Net) {
         let Some(caller) = self.connections.callers.remove(&socket) else { return };
         for tag in caller.open_set_ups {
-            self.hang_up(tag, net);
+            if !self.connections.is_open_elsewhere(tag, socket) {
+                self.remember_given_up(tag);
+                self.hang_up(tag, net);
+            }
         }
     }
 
--- a/crates/platform/src/sessions/shutdown.rs
+++ b/crates/platform/src/sessions/shutdown.rs
@@ -69,6 +69,7 @@
     }
 
     pub(super) fn open_set_ups(&self) -> usize {
-        self.connections.calls.values().filter(|call| call.is_open).count()
+        let open = self.connections.calls.values().filter(|call| call.is_open).count();
+        open + self.deferred_set_ups.len()
     }
 }
