Platform: set-ups wait in a queue for each connection, and the module is given them in turn

Cause: a set-up whose caller still writes was held back after the decision, so that the module had it out at a core server, which seemed silent and was set aside; and the module takes set-ups in the order of their arrival, so that one connection fills what it may hold. On the way a set-up that was not written yet was told from one that was by its place in a list; it is told by whether it was sent. Connections were read in the order in which they got ready.

Why this works: `intake.rs` keeps a queue for each connection before the decision, the module is given set-ups in turn and only from connections whose input was read; what cannot be sent at its launch goes back. Callers are read by the time that their input has taken (`fair_queue.rs`).

--- a/crates/cli/tests/rig/mod.rs
+++ b/crates/cli/tests/rig/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)] // Each test uses a part of it.
 
+pub mod answering_core;
+
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -57,6 +59,17 @@
     }
 }
 
+/// Where the log goes: to a file that may be named, to look at a play afterwards.
+fn log() -> Stdio {
+    let Ok(path) = std::env::var("LOTUSSADDLE_PLAY_LOG") else { return Stdio::null() };
+    std::fs::File::options().create(true).append(true).open(path).unwrap().into()
+}
+
+/// The program under test: another build may be named, to compare the two.
+fn program() -> String {
+    std::env::var("LOTUSSADDLE_PROGRAM").unwrap_or_else(|_| env!("CARGO_BIN_EXE_lotussaddle").to_owned())
+}
+
 pub fn proxy(feed: SocketAddr, core: SocketAddr, descriptors: Option<u32>) -> Proxy {
     let at = free_address();
     proxy_by(at, &config(at, feed, core), descriptors)
@@ -69,9 +82,9 @@
     std::fs::write(&path, config).unwrap();
     let limit = descriptors.map(|n| format!("ulimit -n {n}; ")).unwrap_or_default();
     let child = Command::new("sh")
-        .args(["-c", &format!("{limit}exec {} serve --platform", env!("CARGO_BIN_EXE_lotussaddle"))])
+        .args(["-c", &format!("{limit}exec {} serve --platform", program())])
         .env("RELAY_CONFIG", &path)
-        .stderr(Stdio::null())
+        .stderr(log())
         .spawn()
         .unwrap();
     Proxy { child, at, folder }
@@ -126,6 +139,13 @@
         stat.rsplit(") ").next().unwrap().to_owned()
     }
 
+    /// The largest amount of memory that it has held, in MiB.
+    pub fn peak_memory_mb(&self) -> f64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a running process");
+        peak.trim().trim_end_matches(" kB").parse::<f64>().unwrap() / 1024.0
+    }
+
     /// Descriptors that it holds.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -3,8 +3,10 @@
 //! Takes no decisions and does not interpret messages: it accepts, connects, reads, writes and reads the
 //! clock. The entry point is [`serve`].
 
+mod fair_queue;
 mod run;
 mod sockets;
 
+pub use fair_queue::FairQueue;
 pub use run::serve;
 pub use sockets::{Origin, Sockets};
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -152,13 +152,18 @@
         }
         // Callers that are not read in time keep their place, and are read first in the next iteration.
         let callers_until = Instant::now() + CALLER_READ_TIME;
-        let mut callers_left = sockets.ready_callers.len();
-        while callers_left > 0 && Instant::now() < callers_until {
-            let Some(socket) = sockets.ready_callers.pop_front() else { break };
+        let mut read_from = Instant::now();
+        for _ in 0..sockets.ready_callers.len() {
+            let Some(socket) = sockets.ready_callers.pop() else { break };
             read_once(socket, &mut buffer, &mut platform, &mut sockets, &clock);
-            callers_left -= 1;
+            let read_until = Instant::now();
+            sockets.ready_callers.charge(socket, read_until - read_from);
+            read_from = read_until;
+            if read_until >= callers_until {
+                break;
+            }
         }
-        if callers_left == 0 {
+        if sockets.ready_callers.is_round_over() {
             platform.callers_read(clock());
         }
         fire_timer(&mut platform, &mut sockets, clock());
--- a/crates/front/src/sockets.rs
+++ b/crates/front/src/sockets.rs
@@ -10,6 +10,8 @@
 use mio::{Interest, Registry, Token};
 use rustix::io::Errno;
 
+use crate::fair_queue::FairQueue;
+
 /// Maximum number of bytes read from one connection in one iteration.
 pub const READ_CHUNK_BYTES: usize = 16 * 1024;
 /// Bounds on the input discarded from a connection that is closing, in bytes and in time.
@@ -66,8 +68,8 @@
     max_unwritten_bytes: usize,
     /// Connections started by this side that may have input, in the order in which they are read.
     pub ready_peers: VecDeque<SocketId>,
-    /// The same of accepted connections.
-    pub ready_callers: VecDeque<SocketId>,
+    /// Accepted connections that may have input.
+    pub ready_callers: FairQueue,
     /// Connections lost and not yet reported.
     pub lost: Vec<LostConnection>,
     /// Connections that are closing, oldest first.
@@ -87,7 +89,7 @@
             max_connections,
             max_unwritten_bytes,
             ready_peers: VecDeque::new(),
-            ready_callers: VecDeque::new(),
+            ready_callers: FairQueue::default(),
             lost: Vec::new(),
             draining: VecDeque::new(),
             log_lines: (None, 0, 0),
@@ -165,11 +167,12 @@
         connection.is_queued = true;
         match connection.origin {
             Origin::Started => self.ready_peers.push_back(socket),
-            Origin::Accepted => self.ready_callers.push_back(socket),
+            Origin::Accepted => self.ready_callers.push(socket),
         }
     }
 
     fn fail(&mut self, socket: SocketId, error: &std::io::Error) {
+        self.ready_callers.remove(socket);
         if let Some(mut connection) = self.connections.remove(&socket) {
             let _ = self.registry.deregister(&mut connection.stream);
             if connection.drain.is_none() {
@@ -329,6 +332,7 @@
             self.flush(socket);
             return;
         }
+        self.ready_callers.remove(socket);
         if let Some(mut connection) = self.connections.remove(&socket) {
             let _ = self.registry.deregister(&mut connection.stream);
         }
--- a/crates/front/tests/sockets.rs
+++ b/crates/front/tests/sockets.rs
@@ -47,7 +47,7 @@
     assert!(!p.sockets.has_unread(p.local), "nothing was sent");
     p.remote.write_all(b"x").unwrap();
     assert!(becomes_true(|| p.sockets.has_unread(p.local)));
-    assert_eq!(p.sockets.ready_callers.pop_front(), Some(p.local), "it is read in the next iteration");
+    assert_eq!(p.sockets.ready_callers.pop(), Some(p.local), "it is read in the next iteration");
 
     let mut p = connected_pair();
     drop(p.remote);
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -13,6 +13,13 @@
 use serde_json::value::RawValue;
 
 use crate::feed::KnownEvents;
+use crate::intake::IntakeBounds;
+
+/// Set-ups among which the decision module can choose. More of them only wait: they are shared fairly while they are queued,
+/// and no longer once the module has them.
+const MAX_ADMITTED_SET_UPS: usize = 1024;
+/// Set-ups queued for one connection: they are given up together when it is lost, within one loop iteration.
+const MAX_QUEUED_PER_CONNECTION: usize = 1024;
 
 /// Reading of this edge proxy's clock at start-up. It is above zero so that earlier events, such as the start
 /// of core servers, have a valid time on the same clock.
@@ -60,8 +67,12 @@
 
 /// Resource bounds. Each follows from the configured limits; `docs/operators/platform.md` describes what
 /// happens beyond it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug)]
 pub struct Bounds {
+    /// Number of set-ups that the decision module is given before some of them are answered; further ones are queued.
+    pub admitted_set_ups: usize,
+    /// Set-ups that are queued before the module is given them.
+    pub intake: IntakeBounds,
     /// Total bytes of the answers kept for a moment in case their set-ups are sent again.
     pub recent_answer_bytes: usize,
     /// Number of connections from callers.
@@ -70,7 +81,7 @@
     pub core_connections: usize,
     /// Number of connections to one core server.
     pub connections_per_core: usize,
-    /// Total bytes of the descriptions held for unanswered set-ups.
+    /// Total bytes of the descriptions of unanswered set-ups that the module has.
     pub description_bytes: usize,
     /// Bytes waiting to be written to one connection.
     pub unwritten_bytes: usize,
@@ -93,11 +104,17 @@
         // A held dialogue takes about 1 KiB in this process, a remembered one 200 bytes.
         let dialogues = memory / 8 / 1024;
         Self {
+            admitted_set_ups: dialogues.min(MAX_ADMITTED_SET_UPS),
+            intake: IntakeBounds {
+                count: dialogues / 4,
+                per_connection: MAX_QUEUED_PER_CONNECTION,
+                bytes: memory / 32,
+            },
             recent_answer_bytes: memory / 64,
             caller_connections: sockets / 2,
             core_connections: sockets / 4,
             connections_per_core: 4,
-            description_bytes: memory / 16,
+            description_bytes: memory / 32,
             unwritten_bytes: 128 * 1024,
             pending_releases: dialogues,
             remembered_ends: dialogues,
--- a/crates/platform/src/connections.rs
+++ b/crates/platform/src/connections.rs
@@ -11,9 +11,9 @@
 use lotussaddle::interface::{DialogueId, LaunchNumber, LoadReport, Outcome};
 use lotussaddle_edge::LinkId;
 
-use crate::codec::{self, MessageSplitter, MessageToCaller, Tag};
+use crate::codec::{self, MessageSplitter, MessageToCaller, Start, Tag};
 use crate::config::Bounds;
-use crate::cores::{CoreConnection, Incarnation};
+use crate::cores::{CoreConnection, Incarnation, SetUp};
 use crate::recent_set_ups::{Ending, Fingerprint, RecentSetUp, RecentSetUps};
 use crate::{Net, SocketId};
 
@@ -53,11 +53,15 @@
     pub fingerprint: Fingerprint,
     /// Whether its set-up was sent to a core server.
     pub was_launched: bool,
+    /// The set-up, without its description; `None` for a call that was reported as standing.
+    pub start: Option<Box<Start>>,
     /// The connection on which it was received.
     pub caller: SocketId,
     /// Another connection on which it was sent again: the first one may have ended for its caller, or may not, so both
     /// are sent what its caller is owed.
     pub repeated_on: Option<SocketId>,
+    /// When the caller of its set-up stops waiting.
+    pub deadline: Duration,
     /// Whether it has no final answer yet; its description is held until then.
     pub is_open: bool,
     /// Whether the call stands.
@@ -109,6 +113,8 @@
     pub calls: HashMap<Tag, Call>,
     /// Set-ups that have just ended, in case they are sent again.
     pub recent_set_ups: RecentSetUps,
+    /// Number of calls without an answer.
+    pub open_calls: usize,
     /// Total bytes of the descriptions held.
     pub held_description_bytes: usize,
     /// The logical link to the feed, once it exists.
@@ -119,6 +125,8 @@
     pub links_to_admit: Vec<LinkId>,
     /// Ended launches that are not yet reported to the edge.
     pub ended_launches: VecDeque<EndedLaunch>,
+    /// Set-ups that were to be sent to a core server for the first time while their caller's connection had unread input.
+    pub held_back: Vec<SetUp>,
     /// Caller connections on which a write failed; they are to be closed.
     pub unusable_callers: Vec<SocketId>,
     /// Connections to core servers on which a write failed; they are to be closed.
@@ -156,11 +164,13 @@
             cores: HashMap::new(),
             incarnations: BTreeMap::new(),
             calls: HashMap::new(),
+            open_calls: 0,
             held_description_bytes: 0,
             list_link: None,
             next_link: 1,
             links_to_admit: Vec::new(),
             ended_launches: VecDeque::new(),
+            held_back: Vec::new(),
             unusable_callers: Vec::new(),
             unwritable_cores: Vec::new(),
             cores_with_unsent_set_ups: BTreeSet::new(),
@@ -178,6 +188,8 @@
     pub fn close_call(&mut self, tag: Tag) {
         let Some(call) = self.calls.get_mut(&tag).filter(|call| call.is_open) else { return };
         call.is_open = false;
+        call.start = None;
+        self.open_calls -= 1;
         self.held_description_bytes -= std::mem::take(&mut call.description_bytes);
         for socket in call.sockets() {
             if let Some(caller) = self.callers.get_mut(&socket) {
--- a/crates/platform/src/connections/launches.rs
+++ b/crates/platform/src/connections/launches.rs
@@ -57,8 +57,8 @@
 
     /// Writes the waiting set-ups to connections that are up. Returns true if some of them ended instead.
     ///
-    /// A set-up whose caller's connection has unread input is held back until the next iteration, because
-    /// that input may cancel it.
+    /// A set-up whose caller's connection has unread input is held back, because that input may cancel it: until the next
+    /// iteration if a core server may have had it, otherwise it is put into [`Self::held_back`].
     pub fn send_set_ups(&mut self, net: &mut dyn Net) -> bool {
         let mut ended = false;
         for socket in std::mem::take(&mut self.cores_with_unsent_set_ups) {
@@ -72,7 +72,11 @@
                     continue;
                 };
                 if self.now < set_up.deadline && call.sockets().any(|caller| net.has_unread(caller)) {
-                    held_back.push(set_up);
+                    if call.was_launched {
+                        held_back.push(set_up);
+                    } else {
+                        self.held_back.push(set_up);
+                    }
                     continue;
                 }
                 // The time spent waiting counts; the edge ends the launch if no time is left.
@@ -109,7 +113,7 @@
         let Some((_, socket)) = self.calls.get_mut(&tag).and_then(|call| call.core.take()) else { return };
         let Some(core) = self.cores.get_mut(&socket) else { return };
         let Some(launch) = core.open_launches.remove(&tag) else { return };
-        if core.is_unsent(tag) {
+        if launch.sent_at.is_none() {
             return core.unsent_set_ups.retain(|waiting| waiting.tag != tag);
         }
         let incarnation = self.incarnations.get(&core.link);
--- a/crates/platform/src/cores.rs
+++ b/crates/platform/src/cores.rs
@@ -173,7 +173,7 @@
 
     /// Whether the set-up of a call has not been sent yet.
     pub fn is_unsent(&self, tag: Tag) -> bool {
-        self.unsent_set_ups.iter().any(|set_up| set_up.tag == tag)
+        self.open_launches.get(&tag).is_some_and(|launch| launch.sent_at.is_none())
     }
 
     /// Remembers that the set-up of a call was cancelled on this connection.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -10,6 +10,7 @@
 mod cores;
 pub mod ended_calls;
 pub mod feed;
+pub mod intake;
 mod json_message;
 pub mod liveness;
 pub mod recent_set_ups;
--- a/crates/platform/src/sessions.rs
+++ b/crates/platform/src/sessions.rs
@@ -7,23 +7,21 @@
 mod set_ups;
 mod shutdown;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use lotussaddle::interface::*;
 use lotussaddle_edge::{Counts, Edge};
 
-use crate::codec::Tag;
 use crate::config::Config;
 use crate::connections::{CALLERS, ConnectionTable, EndedLaunch, dialogue_id};
 use crate::ended_calls::EndedCalls;
 use crate::feed::{Event, Feed};
+use crate::intake::Intake;
 use crate::liveness::{CoreConnectionFigures, Liveness};
 use crate::{CloseMode, Net, SocketId};
 
-use set_ups::DeferredSetUp;
-
 /// Interval between checks of connections and incarnations.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -40,7 +38,9 @@
     widths: Vec<f64>,
     first_choices: std::collections::BTreeSet<i64>,
     ended_calls: EndedCalls,
-    deferred_set_ups: BTreeMap<Tag, DeferredSetUp>,
+    intake: Intake,
+    /// Whether the module has room for set-ups that were not admitted in the last iteration.
+    has_more_to_admit: bool,
     /// Time after the end of a launch within which none for the same call may begin.
     release_time: Duration,
     is_ready: bool,
@@ -57,6 +57,7 @@
         let max_cut_off = plan.products.iter().map(|p| p.redial_window).max().unwrap_or_default();
         let release_time = plan.release_time;
         let ended_calls = EndedCalls::new(bounds.remembered_ends);
+        let intake = Intake::new(bounds.intake);
         let edge = Edge::new(&config.name, "", plan, config.seed, bounds.edge.clone());
         let classes_by_name =
             classes.iter().enumerate().map(|(place, name)| (name.clone(), place as u16)).collect();
@@ -71,7 +72,8 @@
             widths: config.widths,
             first_choices: config.first_choices,
             ended_calls,
-            deferred_set_ups: BTreeMap::new(),
+            intake,
+            has_more_to_admit: false,
             release_time,
             is_ready: false,
             shutdown_since: None,
@@ -111,7 +113,7 @@
         (
             self.connections.calls.len(),
             self.connections.pending_releases.len(),
-            self.connections.held_description_bytes,
+            self.connections.held_description_bytes + self.intake.bytes(),
         )
     }
 
@@ -128,15 +130,17 @@
 
     /// When [`Self::timer_fired`] must be called next.
     pub fn next_due(&self) -> Duration {
+        if self.has_more_to_admit {
+            return Duration::ZERO;
+        }
         let next = self.edge.next_due().min(self.sweep_at);
-        self.deferred_due().map_or(next, |due| next.min(due))
+        self.intake.deferred_due().map_or(next, |due| next.min(due))
     }
 
     /// The time returned by [`Self::next_due`] has been reached.
     pub fn timer_fired(&mut self, now: Duration, net: &mut dyn Net) {
         self.connections.now = now;
         self.edge.timer_fired(now, &mut self.connections.effects(net));
-        self.launch_deferred(net);
         self.process_pending(net);
         if self.sweep_at <= now {
             self.sweep_at = now + SWEEP_INTERVAL;
@@ -195,10 +199,12 @@
     /// now.
     pub fn send_set_ups(&mut self, now: Duration, net: &mut dyn Net) {
         self.connections.now = now;
+        self.admit_set_ups(net);
         while self.connections.send_set_ups(net) {
             self.process_pending(net);
         }
         self.process_pending(net);
+        self.requeue_held_back(net);
     }
 
     /// All input of callers that was waiting when the loop iteration began has been read.
--- a/crates/platform/src/sessions/callers.rs
+++ b/crates/platform/src/sessions/callers.rs
@@ -151,8 +151,8 @@
 
     /// A set-up can be given up only on its own connection, a standing call on any.
     pub(super) fn handle_caller_finish(&mut self, socket: SocketId, tag: Tag, net: &mut dyn Net) {
-        if self.remove_deferred(tag, socket) {
-            return; // The set-up is given up before it was launched again.
+        if self.intake.get(tag).is_some_and(|(caller, _)| caller == socket) {
+            return self.give_up_queued(tag);
         }
         match self.edge.dialogue_stands(&dialogue_id(tag)) {
             Some(false) if !self.connections.callers_of(tag).contains(&socket) => {
@@ -213,7 +213,7 @@
             self.connections.remember_ending(tag, Ending::Refused { cause: cause::RESET, wait_ms: None });
             let message = MessageToCaller::Finish { cause: cause::RESET, wait_ms: None };
             self.connections.send_to_caller(net, socket, tag, message);
-            self.take_deferred(tag);
+            self.remove_queued(tag);
             self.hang_up(tag, net);
         }
     }
@@ -222,8 +222,12 @@
     pub(super) fn caller_lost(&mut self, socket: SocketId, net: &mut dyn Net) {
         let Some(caller) = self.connections.callers.remove(&socket) else { return };
         for tag in caller.open_set_ups {
-            if !self.connections.is_open_elsewhere(tag, socket) {
-                self.remember_given_up(tag);
+            if self.connections.is_open_elsewhere(tag, socket) {
+                continue;
+            }
+            let is_queued = self.intake.get(tag).is_some();
+            self.remember_given_up(tag);
+            if !is_queued {
                 self.hang_up(tag, net);
             }
         }
--- a/crates/platform/src/sessions/core_connections.rs
+++ b/crates/platform/src/sessions/core_connections.rs
@@ -6,7 +6,6 @@
 use lotussaddle_edge::LinkId;
 
 use super::Platform;
-use crate::codec::Tag;
 use crate::connections::EndedLaunch;
 use crate::cores::{CoreConnection, Incarnation, OpenLaunch};
 use crate::liveness::SILENCE_LIMIT;
@@ -28,10 +27,9 @@
         let Some(core) = self.connections.cores.remove(&socket) else { return };
         let link = core.link;
         let outcome = if core.is_up { Outcome::BrokenOff } else { Outcome::Unreachable };
-        let unsent: Vec<Tag> = core.unsent_set_ups.iter().map(|set_up| set_up.tag).collect();
-        for (tag, OpenLaunch { number: launch, .. }) in core.open_launches {
+        for (tag, OpenLaunch { number: launch, sent_at }) in core.open_launches {
             // A set-up that was not written never reached the server.
-            let outcome = if unsent.contains(&tag) { Outcome::Unreachable } else { outcome };
+            let outcome = if sent_at.is_none() { Outcome::Unreachable } else { outcome };
             if let Some(call) = self.connections.calls.get_mut(&tag) {
                 call.core = None;
             }
--- a/crates/platform/src/sessions/set_ups.rs
+++ b/crates/platform/src/sessions/set_ups.rs
@@ -1,5 +1,7 @@
-//! Set-ups from callers: their validation, those that are sent again, and calls that are reported as standing.
+//! Set-ups from callers: their validation and admission, those that are sent again, and calls that are reported as
+//! standing.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,20 +9,16 @@
 use lotussaddle_trunk::{Dial, Extra, Frame, Message};
 
 use super::Platform;
-use crate::codec::{InvalidMessage, MessageToCaller, Start, Tag, cause, code};
-use crate::connections::{CALLERS, Call, dialogue_id};
+use crate::codec::{InvalidMessage, MAX_MESSAGE_BYTES, MessageToCaller, Start, Tag, cause, code};
+use crate::connections::{CALLERS, Call, ConnectionTable, dialogue_id};
+use crate::intake::QueuedSetUp;
 use crate::recent_set_ups::{Ending, Fingerprint, RecentSetUp};
 use crate::{Net, SocketId};
 
-/// A set-up that was sent again and waits until it may go to a core server again.
-pub(super) struct DeferredSetUp {
-    caller: SocketId,
-    start: Start,
-    /// Earliest time of its launch.
-    launch_from: Duration,
-    /// When its caller stops waiting.
-    deadline: Duration,
-}
+/// Set-ups that the module is given in one loop iteration, to bound its length.
+const MAX_ADMISSIONS_PER_ITERATION: usize = 128;
+/// A queued set-up is refused this long before its caller stops waiting, so that the refusal arrives in time.
+const REFUSE_BEFORE_DEADLINE: Duration = Duration::from_millis(100);
 
 impl Platform {
     pub(super) fn handle_start(&mut self, socket: SocketId, start: Start, net: &mut dyn Net) {
@@ -37,8 +35,10 @@
                     self.reject_message(socket, invalid("call is already held"), net);
                 }
             }
-            None if self.deferred_set_ups.contains_key(&tag) => {
-                self.reject_message(socket, invalid("call is already held"), net);
+            None if self.intake.get(tag).is_some() => {
+                if !self.move_queued(socket, &start) {
+                    self.reject_message(socket, invalid("call is already held"), net);
+                }
             }
             None => {
                 self.mark_valid(socket);
@@ -107,7 +107,9 @@
         let fingerprint = Fingerprint::of(&start);
         let recent = self.connections.recent_set_ups.take_repeated(start.tag, fingerprint, socket);
         match recent.map(|recent| recent.ending) {
-            None | Some(Ending::Stands(_)) => self.accept_set_up(socket, start, product, net),
+            None | Some(Ending::Stands(_)) => {
+                self.queue_set_up(socket, start, product, Duration::ZERO, net);
+            }
             Some(Ending::Refused { cause, wait_ms }) => {
                 let answer = MessageToCaller::Finish { cause, wait_ms };
                 self.connections.send_to_caller(net, socket, start.tag, answer);
@@ -124,71 +126,179 @@
         &mut self, socket: SocketId, start: Start, product: u16, launch_from: Duration, net: &mut dyn Net,
     ) {
         let (now, tag) = (self.connections.now, start.tag);
-        let time_left = Duration::from_secs_f64(start.time_left_ms / 1000.0).min(self.remaining_time());
-        if now >= launch_from {
-            self.edge.forget_concluded(&dialogue_id(tag));
-            return self.accept_set_up(socket, start, product, net);
-        }
-        if now + time_left <= launch_from || !self.has_room_for(&start) {
+        if launch_from > now && now + self.time_left(&start) <= launch_from {
             let answer = MessageToCaller::Finish { cause: cause::RESET, wait_ms: None };
             self.connections.send_to_caller(net, socket, tag, answer);
             return;
         }
-        self.connections.held_description_bytes += start.description.len();
+        self.edge.forget_concluded(&dialogue_id(tag));
+        self.queue_set_up(socket, start, product, launch_from, net);
+    }
+
+    /// Queues a set-up until the module is given it.
+    fn queue_set_up(
+        &mut self, socket: SocketId, start: Start, product: u16, launch_from: Duration, net: &mut dyn Net,
+    ) {
+        let (now, tag, time_left) = (self.connections.now, start.tag, self.time_left(&start));
+        let held = self.intake.len() + self.edge.sizes().0;
+        let has_room = self.intake.has_room_for(socket, start.description.len())
+            && held < self.connections.bounds.edge.max_dialogues;
+        if !has_room || time_left.is_zero() || self.edge.is_concluded(&dialogue_id(tag)) {
+            let is_used = self.edge.is_concluded(&dialogue_id(tag));
+            let cause = if is_used { cause::UNUSABLE } else { cause::CONGESTION };
+            let message = MessageToCaller::Finish { cause, wait_ms: None };
+            self.connections.send_to_caller(net, socket, tag, message);
+            return;
+        }
         if let Some(caller) = self.connections.callers.get_mut(&socket) {
             caller.open_set_ups.insert(tag);
         }
-        let deferred = DeferredSetUp { caller: socket, start, launch_from, deadline: now + time_left };
-        self.deferred_set_ups.insert(tag, deferred);
+        let not_before = if launch_from > now { launch_from } else { Duration::ZERO };
+        self.intake.push(socket, QueuedSetUp { start, product, deadline: now + time_left, not_before });
     }
 
-    /// Takes on the set-ups that have waited until they may go to a core server again.
-    pub(super) fn launch_deferred(&mut self, net: &mut dyn Net) {
-        let now = self.connections.now;
-        let is_due = |deferred: &DeferredSetUp| now >= deferred.launch_from;
-        let due: Vec<(Tag, SocketId)> = self
-            .deferred_set_ups
-            .iter()
-            .filter(|(_, deferred)| is_due(deferred))
-            .map(|(tag, deferred)| (*tag, deferred.caller))
-            .collect();
-        for (tag, socket) in due {
-            let Some(DeferredSetUp { mut start, deadline, .. }) = self.take_deferred(tag) else { continue };
-            let Some(product) = self.classes.get(&start.class).copied() else { continue };
-            start.time_left_ms = deadline.saturating_sub(now).as_secs_f64() * 1000.0;
+    /// Gives the module queued set-ups, from each connection in turn, while it has room for them. The input of a connection
+    /// is read before its set-ups are decided on.
+    pub(super) fn admit_set_ups(&mut self, net: &mut dyn Net) {
+        self.refuse_expired(net);
+        self.intake.queue_deferred(self.connections.now);
+        self.has_more_to_admit = false;
+        let mut in_turn: VecDeque<SocketId> = self.intake.in_turn().into();
+        in_turn.retain(|socket| !net.has_unread(*socket));
+        let mut admitted = 0;
+        while let Some(socket) = in_turn.pop_front()
+            && self.may_admit()
+        {
+            if admitted == MAX_ADMISSIONS_PER_ITERATION {
+                self.has_more_to_admit = true;
+                return;
+            }
+            if let Some(set_up) = self.intake.take_first(socket) {
+                self.admit(socket, set_up, net);
+                self.process_pending(net);
+                in_turn.push_back(socket);
+                admitted += 1;
+            }
+        }
+    }
+
+    /// Takes set-ups back from the module that cannot be sent now because their connections have unread input: meanwhile
+    /// they would occupy core servers, which would seem not to answer.
+    pub(super) fn requeue_held_back(&mut self, net: &mut dyn Net) {
+        for held_back in std::mem::take(&mut self.connections.held_back) {
+            let tag = held_back.tag;
+            let Some(call) = self.connections.calls.get_mut(&tag).filter(|call| call.is_open) else {
+                continue;
+            };
+            let (socket, repeated_on) = (call.caller, call.repeated_on);
+            let Some(mut start) = call.start.take() else { continue };
+            let (Ok(description), Some(product)) =
+                (String::from_utf8(held_back.description), self.classes.get(&start.class).copied())
+            else {
+                continue;
+            };
+            start.description = description;
+            let deadline = call.deadline;
+            self.hang_up(tag, net);
             self.edge.forget_concluded(&dialogue_id(tag));
-            self.accept_set_up(socket, start, product, net);
+            let owner = repeated_on.filter(|_| !self.connections.callers.contains_key(&socket));
+            let socket = owner.unwrap_or(socket);
+            if let Some(caller) = self.connections.callers.get_mut(&socket) {
+                caller.open_set_ups.insert(tag);
+                let set_up = QueuedSetUp { start: *start, product, deadline, not_before: Duration::ZERO };
+                self.intake.push(socket, set_up);
+            }
         }
     }
 
-    /// When [`Self::launch_deferred`] is due next.
-    pub(super) fn deferred_due(&self) -> Option<Duration> {
-        self.deferred_set_ups.values().map(|deferred| deferred.launch_from).min()
+    fn may_admit(&self) -> bool {
+        let ConnectionTable { open_calls, held_description_bytes, bounds, .. } = &self.connections;
+        *open_calls < bounds.admitted_set_ups
+            && held_description_bytes + MAX_MESSAGE_BYTES <= bounds.description_bytes
+    }
+
+    fn refuse_expired(&mut self, net: &mut dyn Net) {
+        while let Some(tag) = self.intake.expired(self.connections.now + REFUSE_BEFORE_DEADLINE) {
+            let Some((socket, set_up)) = self.remove_queued(tag) else { return };
+            // One with very little time is decided on at once if nothing speaks against it.
+            if set_up.not_before.is_zero()
+                && !net.has_unread(socket)
+                && set_up.deadline > self.connections.now
+            {
+                self.admit(socket, set_up, net);
+                continue;
+            }
+            let message = MessageToCaller::Finish { cause: cause::CONGESTION, wait_ms: None };
+            self.connections.send_to_caller(net, socket, tag, message);
+        }
     }
 
-    /// Removes a set-up that waits for its launch if it belongs to this connection. Returns whether there was one.
-    pub(super) fn remove_deferred(&mut self, tag: Tag, socket: SocketId) -> bool {
-        let is_own = self.deferred_set_ups.get(&tag).is_some_and(|deferred| deferred.caller == socket);
-        is_own && self.take_deferred(tag).is_some()
+    /// Passes a set-up to the edge.
+    fn admit(&mut self, socket: SocketId, set_up: QueuedSetUp, net: &mut dyn Net) {
+        let QueuedSetUp { mut start, product, deadline, .. } = set_up;
+        let (now, tag) = (self.connections.now, start.tag);
+        start.time_left_ms = deadline.saturating_sub(now).as_secs_f64() * 1000.0;
+        let dial = self.dial(&start, product);
+        self.connections.held_description_bytes += start.description.len();
+        self.connections.open_calls += 1;
+        let mut call = new_call(socket, &start, true);
+        let description = std::mem::take(&mut start.description);
+        (call.start, call.deadline) = (Some(Box::new(start)), deadline);
+        self.connections.calls.insert(tag, call);
+        if let Some(caller) = self.connections.callers.get_mut(&socket) {
+            caller.open_set_ups.insert(tag);
+        }
+        let extra = vec![Extra { tag: code::DESCRIPTION, value: description.into_bytes() }];
+        let message = Message { frame: Frame::Dial(dial), extra };
+        self.edge.frame_received(now, CALLERS, message, &mut self.connections.effects(net));
     }
 
-    pub(super) fn take_deferred(&mut self, tag: Tag) -> Option<DeferredSetUp> {
-        let deferred = self.deferred_set_ups.remove(&tag)?;
-        self.connections.held_description_bytes -= deferred.start.description.len();
-        if let Some(caller) = self.connections.callers.get_mut(&deferred.caller) {
+    /// Removes a queued set-up from its queue and from its connection.
+    pub(super) fn remove_queued(&mut self, tag: Tag) -> Option<(SocketId, QueuedSetUp)> {
+        let (socket, set_up) = self.intake.remove(tag)?;
+        if let Some(caller) = self.connections.callers.get_mut(&socket) {
             caller.open_set_ups.remove(&tag);
         }
-        Some(deferred)
+        Some((socket, set_up))
+    }
+
+    /// A caller gives up a set-up that the module was not given.
+    pub(super) fn give_up_queued(&mut self, tag: Tag) {
+        if let Some((socket, _)) = self.remove_queued(tag) {
+            self.mark_valid(socket);
+            self.edge.remember_concluded(&dialogue_id(tag));
+        }
+    }
+
+    /// A queued set-up is sent again on another connection: it is queued there, and not answered on the first one, which
+    /// has probably ended. Returns false if it is another set-up, or the same connection.
+    fn move_queued(&mut self, socket: SocketId, start: &Start) -> bool {
+        let is_repeat = self.intake.get(start.tag).is_some_and(|(owner, queued)| {
+            owner != socket && Fingerprint::of(&queued.start) == Fingerprint::of(start)
+        });
+        if is_repeat
+            && let Some((_, queued)) = self.remove_queued(start.tag)
+            && let Some(caller) = self.connections.callers.get_mut(&socket)
+        {
+            caller.open_set_ups.insert(start.tag);
+            self.intake.push(socket, queued);
+            self.mark_valid(socket);
+        }
+        is_repeat
+    }
+
+    fn time_left(&self, start: &Start) -> Duration {
+        Duration::from_secs_f64(start.time_left_ms / 1000.0).min(self.remaining_time())
     }
 
     /// The connection of a set-up without an answer was lost: it is given up, and may be sent again.
     pub(super) fn remember_given_up(&mut self, tag: Tag) {
         let now = self.connections.now;
-        if let Some(deferred) = self.take_deferred(tag) {
+        if let Some((caller, queued)) = self.remove_queued(tag) {
             let recent = RecentSetUp {
-                fingerprint: Fingerprint::of(&deferred.start),
-                caller: deferred.caller,
-                ending: Ending::GivenUp { launch_from: deferred.launch_from },
+                fingerprint: Fingerprint::of(&queued.start),
+                caller,
+                ending: Ending::GivenUp { launch_from: queued.not_before },
             };
             return self.connections.recent_set_ups.insert(now, tag, recent);
         }
@@ -197,30 +307,6 @@
         self.connections.remember_ending(tag, Ending::GivenUp { launch_from });
     }
 
-    fn has_room_for(&self, start: &Start) -> bool {
-        self.connections.held_description_bytes + start.description.len()
-            <= self.connections.bounds.description_bytes
-    }
-
-    /// Passes a set-up to the edge.
-    fn accept_set_up(&mut self, socket: SocketId, start: Start, product: u16, net: &mut dyn Net) {
-        let (now, tag) = (self.connections.now, start.tag);
-        let dial = self.dial(&start, product);
-        if !self.has_room_for(&start) || dial.time_left.is_zero() {
-            let message = MessageToCaller::Finish { cause: cause::CONGESTION, wait_ms: None };
-            self.connections.send_to_caller(net, socket, tag, message);
-            return;
-        }
-        self.connections.held_description_bytes += start.description.len();
-        self.connections.calls.insert(tag, new_call(socket, &start, true));
-        if let Some(caller) = self.connections.callers.get_mut(&socket) {
-            caller.open_set_ups.insert(tag);
-        }
-        let extra = vec![Extra { tag: code::DESCRIPTION, value: start.description.into_bytes() }];
-        let message = Message { frame: Frame::Dial(dial), extra };
-        self.edge.frame_received(now, CALLERS, message, &mut self.connections.effects(net));
-    }
-
     fn dial(&self, start: &Start, product: u16) -> Dial {
         Dial {
             dialogue: dialogue_id(start.tag),
@@ -229,7 +315,7 @@
             tenant: None,
             first_choice: ServerNumber(start.first_choice),
             width: start.width,
-            time_left: Duration::from_secs_f64(start.time_left_ms / 1000.0).min(self.remaining_time()),
+            time_left: self.time_left(start),
             is_retry: start.is_retry,
             redialled_after_cut: start.redialled_after_cut,
             is_repeat: false,
@@ -244,6 +330,8 @@
     Call {
         fingerprint: Fingerprint::of(start),
         was_launched: false,
+        start: None,
+        deadline: Duration::ZERO,
         caller,
         repeated_on: None,
         is_open,
--- a/crates/platform/src/sessions/shutdown.rs
+++ b/crates/platform/src/sessions/shutdown.rs
@@ -69,7 +69,6 @@
     }
 
     pub(super) fn open_set_ups(&self) -> usize {
-        let open = self.connections.calls.values().filter(|call| call.is_open).count();
-        open + self.deferred_set_ups.len()
+        self.connections.open_calls + self.intake.len()
     }
 }
