Decisions: callers remembered for their redials follow the memory limit of the process

Cause: the module remembered up to 200,000 callers, about 200 bytes each, whatever the limits. What bounds them is the memory that the process may use, as for concluded dialogues.

Why this works: the host sets the bound; on the platform M/32 at 200 bytes. No decision changes below it.

--- a/crates/cli/tests/hostile_clients.rs
+++ b/crates/cli/tests/hostile_clients.rs
@@ -226,8 +226,14 @@
     });
 }
 
+/// A set-up to a number of its own.
+fn start_line(tag: u64) -> String {
+    let key = tag.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    rig::start_line(tag, 1500).replace(r#""left""#, &format!(r#""key":"{key:016x}","left""#))
+}
+
 fn sound_set_up() -> Vec<u8> {
-    (rig::start_line(next_tag(), 1500) + "\n").into_bytes()
+    (start_line(next_tag()) + "\n").into_bytes()
 }
 
 /// Each set-up is given up `behind` set-ups later.
@@ -235,7 +241,7 @@
     move || {
         let tag = next_tag();
         let give_up = finish(tag.saturating_sub(behind));
-        format!("{}\n{give_up}\n", rig::start_line(tag, 1500)).into_bytes()
+        format!("{}\n{give_up}\n", start_line(tag)).into_bytes()
     }
 }
 
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -44,7 +44,12 @@
 impl Edge {
     /// Creates an edge proxy that uses the decision module; `list_address` is the address of the pool list.
     pub fn new(name: &str, list_address: &str, plan: RoutePlan, seed: u64, limits: Limits) -> Self {
-        Self::with_decisions(name, list_address, plan, limits, |plan| Brain::new(plan, seed))
+        let max_remembered_callers = limits.max_remembered_callers;
+        Self::with_decisions(name, list_address, plan, limits, |plan| {
+            let mut brain = Brain::new(plan, seed);
+            brain.limit_remembered_callers(max_remembered_callers);
+            brain
+        })
     }
 }
 
--- a/crates/edge/src/held.rs
+++ b/crates/edge/src/held.rs
@@ -30,6 +30,8 @@
     pub connect_timeout: Duration,
     /// Maximum number of concluded dialogues remembered, by which repeated dials are recognised.
     pub max_concluded: usize,
+    /// Maximum number of callers that the decisions remember for their redials.
+    pub max_remembered_callers: usize,
     /// Time for which a concluded dialogue is remembered.
     pub concluded_retention: Duration,
     /// Time for which the end of a released dialogue is awaited.
@@ -56,6 +58,7 @@
             max_queued_launches: 1_000,
             connect_timeout: Duration::from_millis(500),
             max_concluded: 200_000,
+            max_remembered_callers: 200_000,
             concluded_retention: Duration::from_secs(60),
             release_timeout: Duration::from_secs(5),
             answer_record_timeout: Duration::ZERO,
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -15,6 +15,9 @@
 use crate::feed::KnownEvents;
 use crate::intake::IntakeBounds;
 
+/// Memory that a held dialogue takes, and a remembered dialogue or caller.
+const HELD_BYTES: usize = 1024;
+const REMEMBERED_BYTES: usize = 200;
 /// Set-ups among which the decision module can choose. More of them only wait: they are shared fairly while they are queued,
 /// and no longer once the module has them.
 const MAX_ADMITTED_SET_UPS: usize = 1024;
@@ -101,8 +104,7 @@
     pub fn new(memory_mb: u64, sockets: usize) -> Self {
         let memory = memory_mb.clamp(16, 4096) as usize * 1024 * 1024;
         let sockets = sockets.clamp(48, 65_536);
-        // A held dialogue takes about 1 KiB in this process, a remembered one 200 bytes.
-        let dialogues = memory / 8 / 1024;
+        let dialogues = memory / 8 / HELD_BYTES;
         Self {
             admitted_set_ups: dialogues.min(MAX_ADMITTED_SET_UPS),
             intake: IntakeBounds {
@@ -122,7 +124,8 @@
             edge: Limits {
                 max_dialogues: dialogues,
                 max_links: 1,
-                max_concluded: (memory / 32 / 200).min(100_000),
+                max_concluded: (memory / 32 / REMEMBERED_BYTES).min(100_000),
+                max_remembered_callers: (memory / 32 / REMEMBERED_BYTES).min(200_000),
                 concluded_retention: Duration::from_secs(30),
                 ..Limits::default()
             },
--- a/crates/platform/tests/config.rs
+++ b/crates/platform/tests/config.rs
@@ -83,3 +83,19 @@
         assert_eq!(times, [(ms(100), ms(800)), (ms(900), ms(2000))]);
     }
 }
+
+/// Guards against a table whose size does not follow the configured memory.
+#[test]
+fn what_is_remembered_follows_the_memory_limit() {
+    let bounds = |memory_mb: u64| {
+        let config =
+            Config::parse(&CONFIG.replace("\"memory_mb\":32", &format!("\"memory_mb\":{memory_mb}")));
+        config.unwrap().bounds
+    };
+    for memory_mb in [16, 32, 128, 2048] {
+        let bounds = bounds(memory_mb);
+        let callers_and_dialogues = bounds.edge.max_remembered_callers + bounds.edge.max_concluded;
+        assert!(callers_and_dialogues * 200 <= (memory_mb as usize) << 16, "{memory_mb}: {bounds:?}");
+        assert!(bounds.description_bytes + bounds.intake.bytes <= (memory_mb as usize) << 16, "{bounds:?}");
+    }
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -64,8 +64,8 @@
 /// Upper bound for reported waits: a longer one is replaced by this.
 const MAX_REPORTED_WAIT_SECONDS: f64 = 60.0;
 
-/// Maximum number of remembered callers; beyond it the one whose redial window ends first is evicted.
-const MAX_REMEMBERED_CALLERS: usize = 200_000;
+/// Maximum number of remembered callers unless the host sets another one.
+const DEFAULT_MAX_REMEMBERED_CALLERS: usize = 200_000;
 /// Reported figures above this are ignored: no server has as many lines or takes as many set-ups.
 const MAX_REPORTED_FIGURE: f64 = 1e7;
 /// Upper bound for the times of a route plan.
@@ -209,6 +209,7 @@
     /// Callers whose dialogue was given up and who may redial: time of the first dial, and end of the redial window.
     callers: BTreeMap<DialledKey, (Duration, Duration)>,
     callers_by_expiry: BTreeSet<(Duration, DialledKey)>,
+    max_remembered_callers: usize,
     /// An input other than an arrival was received since the rules were last applied, so that all rules are to be
     /// tried.
     all_rules_due: bool,
@@ -279,6 +280,7 @@
             waiting: WaitingQueue::default(),
             callers: BTreeMap::new(),
             callers_by_expiry: BTreeSet::new(),
+            max_remembered_callers: DEFAULT_MAX_REMEMBERED_CALLERS,
             all_rules_due: true,
             is_timer_set: false,
             launches_held_until: Duration::ZERO,
@@ -300,6 +302,16 @@
         self.launches_held_until = until;
     }
 
+    /// Remembers at most this many callers; beyond it the one whose redial window ends first is evicted.
+    pub fn limit_remembered_callers(&mut self, max_remembered_callers: usize) {
+        self.max_remembered_callers = max_remembered_callers;
+    }
+
+    /// Number of callers whose dialogue was given up and who may redial.
+    pub fn remembered_callers(&self) -> usize {
+        self.callers.len()
+    }
+
     /// Applies entries of the pool list; if `is_complete`, servers without an entry are gone.
     pub fn server_list_received(
         &mut self, now: Duration, is_complete: bool, entries: &[ListEntry], out: &mut dyn Signalling,
@@ -724,7 +736,7 @@
             self.remove_caller(&key);
             self.callers_by_expiry.insert((until, key.clone()));
             self.callers.insert(key, (dialogue.first_dialled_at, until));
-            if self.callers.len() > MAX_REMEMBERED_CALLERS
+            if self.callers.len() > self.max_remembered_callers
                 && let Some((_, key)) = self.callers_by_expiry.pop_first()
             {
                 self.callers.remove(&key);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -603,3 +603,29 @@
     }
     assert_snapshot!(scenario.take_trace());
 }
+
+/// Guards against memory that follows the number of calls given up and not the limit of the process.
+#[test]
+fn callers_remembered_for_their_redials_keep_to_the_limit() {
+    let mut scenario = scenario("a");
+    scenario.brain.limit_remembered_callers(50);
+    for n in 0..1000 {
+        let id = dialogue(&n.to_string());
+        let arrival = Arrival {
+            id: id.clone(),
+            product: ProductId(0),
+            tenant: None,
+            first_choice: ServerNumber(0),
+            width: 1.0,
+            dialled_at: ms(scenario.trace.now),
+            cut_off: ms(scenario.trace.now + 9000),
+            is_retry: false,
+            redialled_after_cut: false,
+            key: Some(DialledKey(Arc::from(format!("number {n}")))),
+        };
+        scenario.brain.dialogue_arrived(ms(scenario.trace.now), arrival, &mut scenario.trace);
+        scenario.brain.caller_left(ms(scenario.trace.now), &id, &mut scenario.trace);
+        scenario.advance_to(scenario.trace.now + 1);
+        assert_eq!(scenario.brain.remembered_callers(), 50.min(n + 1));
+    }
+}
