Platform: what was set up at a new process goes on when the list tells of its start late

Cause: an entry with another start ended whatever was known at that address, without a look at when its connections had come up and its calls had been answered, and nothing was released there.

Why this works: the address was free before that start, so what came up or was answered after it belongs to the listed process; the link is kept with it, what is older ends.

--- a/crates/edge/src/edge/server_list.rs
+++ b/crates/edge/src/edge/server_list.rs
@@ -83,6 +83,15 @@
         (ListEntry { server: entry.server, number, state, started }, replaced_link)
     }
 
+    /// The list is about to report a new incarnation of a server, and the link to that server leads to it already: the
+    /// link is kept, with the launches and dialogues on it.
+    pub fn link_leads_to_incarnation(&mut self, now: Duration, entry: &Entry) {
+        if let Some(core) = self.state.servers.get_mut(&entry.server) {
+            (core.address, core.incarnation) = (entry.address.clone(), entry.incarnation);
+            core.started = start_time(now, entry.age);
+        }
+    }
+
     /// Ends launches that wait for the link of a server that no longer accepts launches.
     fn end_queued_launches_of_inactive(&mut self, effects: &mut dyn EdgeEffects) {
         let inactive = self.state.servers.iter_mut().filter(|(_, core)| core.state != ServerState::Active);
--- a/crates/platform/src/connections.rs
+++ b/crates/platform/src/connections.rs
@@ -66,6 +66,8 @@
     pub is_open: bool,
     /// Whether the call stands.
     pub stands: bool,
+    /// When its core server's answer was received; `None` before that, and for a call that was reported as standing.
+    pub answered_at: Option<Duration>,
     /// Length of its description, counted while it is held.
     pub description_bytes: usize,
     /// The link and connection that carry its launch.
@@ -278,6 +280,13 @@
         sent
     }
 
+    /// Records when the answer of a call was received.
+    pub fn mark_answered(&mut self, tag: Tag) {
+        if let Some(call) = self.calls.get_mut(&tag) {
+            call.answered_at = Some(self.now);
+        }
+    }
+
     /// Sends a caller the answer that its call stands.
     pub fn send_answer(&mut self, net: &mut dyn Net, socket: SocketId, tag: Tag, description: &str) {
         let sent = self.send_to_caller(net, socket, tag, MessageToCaller::Started(description));
--- a/crates/platform/src/connections/effects.rs
+++ b/crates/platform/src/connections/effects.rs
@@ -33,6 +33,7 @@
                 connections.remember_ending(tag, Ending::Stands(description.to_owned()));
                 connections.close_call(tag);
                 connections.mark_standing(tag);
+                connections.mark_answered(tag);
                 for socket in connections.callers_of(tag) {
                     connections.send_answer(net, socket, tag, description);
                 }
--- a/crates/platform/src/cores.rs
+++ b/crates/platform/src/cores.rs
@@ -119,6 +119,8 @@
     pub is_up: bool,
     /// When the connection was started.
     pub started: Duration,
+    /// When it was established.
+    pub up_at: Option<Duration>,
     /// What it has delivered.
     pub liveness: Liveness,
     /// Whether a load report was received on it. The first report on a new connection repeats the last one
@@ -143,6 +145,7 @@
             link,
             is_up: false,
             started: now,
+            up_at: None,
             liveness: Liveness::new(now),
             has_reported: false,
             last_used: now,
--- a/crates/platform/src/sessions.rs
+++ b/crates/platform/src/sessions.rs
@@ -183,6 +183,7 @@
         }
         let Some(core) = self.connections.cores.get_mut(&socket) else { return };
         (core.is_up, core.liveness, core.last_used) = (true, Liveness::new(now), now);
+        core.up_at = Some(now);
         let (link, started) = (core.link, core.started);
         self.connections.cores_with_unsent_set_ups.insert(socket);
         if let Some(incarnation) = self.connections.incarnations.get_mut(&link) {
--- a/crates/platform/src/sessions/set_ups.rs
+++ b/crates/platform/src/sessions/set_ups.rs
@@ -336,6 +336,7 @@
         repeated_on: None,
         is_open,
         stands: false,
+        answered_at: None,
         description_bytes: start.description.len(),
         core: None,
     }
