--- a/crates/platform/src/connections/launches.rs
+++ b/crates/platform/src/connections/launches.rs
@@ -58,7 +58,8 @@
     /// Writes the waiting set-ups to connections that are up. Returns true if some of them ended instead.
     ///
     /// A set-up whose caller's connection has unread input is held back, because that input may cancel it: until the next
-    /// iteration if a core server may have had it, otherwise it is put into [`Self::held_back`].
+    /// iteration if a core server may have had it or two connections wait for it, otherwise it is put into
+    /// [`Self::held_back`].
     pub fn send_set_ups(&mut self, net: &mut dyn Net) -> bool {
         let mut ended = false;
         for socket in std::mem::take(&mut self.cores_with_unsent_set_ups) {
@@ -72,7 +73,7 @@
                     continue;
                 };
                 if self.now < set_up.deadline && call.sockets().any(|caller| net.has_unread(caller)) {
-                    if call.was_launched {
+                    if call.was_launched || call.repeated_on.is_some() {
                         held_back.push(set_up);
                     } else {
                         self.held_back.push(set_up);
--- a/crates/platform/src/sessions.rs
+++ b/crates/platform/src/sessions.rs
@@ -1,5 +1,6 @@
 //! The inputs of the platform's edge proxy, each translated directly into calls on the edge.
 
+mod admission;
 mod callers;
 mod core_connections;
 mod core_servers;
--- a/crates/platform/src/sessions/set_ups.rs
+++ b/crates/platform/src/sessions/set_ups.rs
@@ -1,25 +1,17 @@
-//! Set-ups from callers: their validation and admission, those that are sent again, and calls that are reported as
-//! standing.
+//! Set-ups from callers: their validation, those that are sent again, and calls that are reported as standing.
 
-use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
 use lotussaddle::interface::*;
-use lotussaddle_trunk::{Dial, Extra, Frame, Message};
+use lotussaddle_trunk::Dial;
 
 use super::Platform;
-use crate::codec::{InvalidMessage, MAX_MESSAGE_BYTES, MessageToCaller, Start, Tag, cause, code};
-use crate::connections::{CALLERS, Call, ConnectionTable, dialogue_id};
-use crate::intake::QueuedSetUp;
+use crate::codec::{InvalidMessage, MessageToCaller, Start, Tag, cause};
+use crate::connections::{CALLERS, Call, dialogue_id};
 use crate::recent_set_ups::{Ending, Fingerprint, RecentSetUp};
 use crate::{Net, SocketId};
 
-/// Set-ups that the module is given in one loop iteration, to bound its length.
-const MAX_ADMISSIONS_PER_ITERATION: usize = 128;
-/// A queued set-up is refused this long before its caller stops waiting, so that the refusal arrives in time.
-const REFUSE_BEFORE_DEADLINE: Duration = Duration::from_millis(100);
-
 impl Platform {
     pub(super) fn handle_start(&mut self, socket: SocketId, start: Start, net: &mut dyn Net) {
         let tag = start.tag;
@@ -135,159 +127,20 @@
         self.queue_set_up(socket, start, product, launch_from, net);
     }
 
-    /// Queues a set-up until the module is given it.
-    fn queue_set_up(
-        &mut self, socket: SocketId, start: Start, product: u16, launch_from: Duration, net: &mut dyn Net,
-    ) {
-        let (now, tag, time_left) = (self.connections.now, start.tag, self.time_left(&start));
-        let held = self.intake.len() + self.edge.sizes().0;
-        let has_room = self.intake.has_room_for(socket, start.description.len())
-            && held < self.connections.bounds.edge.max_dialogues;
-        if !has_room || time_left.is_zero() || self.edge.is_concluded(&dialogue_id(tag)) {
-            let is_used = self.edge.is_concluded(&dialogue_id(tag));
-            let cause = if is_used { cause::UNUSABLE } else { cause::CONGESTION };
-            let message = MessageToCaller::Finish { cause, wait_ms: None };
-            self.connections.send_to_caller(net, socket, tag, message);
-            return;
-        }
-        if let Some(caller) = self.connections.callers.get_mut(&socket) {
-            caller.open_set_ups.insert(tag);
-        }
-        let not_before = if launch_from > now { launch_from } else { Duration::ZERO };
-        self.intake.push(socket, QueuedSetUp { start, product, deadline: now + time_left, not_before });
-    }
-
-    /// Gives the module queued set-ups, from each connection in turn, while it has room for them. The input of a connection
-    /// is read before its set-ups are decided on.
-    pub(super) fn admit_set_ups(&mut self, net: &mut dyn Net) {
-        self.refuse_expired(net);
-        self.intake.queue_deferred(self.connections.now);
-        self.has_more_to_admit = false;
-        let mut in_turn: VecDeque<SocketId> = self.intake.in_turn().into();
-        in_turn.retain(|socket| !net.has_unread(*socket));
-        let mut admitted = 0;
-        while let Some(socket) = in_turn.pop_front()
-            && self.may_admit()
-        {
-            if admitted == MAX_ADMISSIONS_PER_ITERATION {
-                self.has_more_to_admit = true;
-                return;
-            }
-            if let Some(set_up) = self.intake.take_first(socket) {
-                self.admit(socket, set_up, net);
-                self.process_pending(net);
-                in_turn.push_back(socket);
-                admitted += 1;
-            }
-        }
-    }
-
-    /// Takes set-ups back from the module that cannot be sent now because their connections have unread input: meanwhile
-    /// they would occupy core servers, which would seem not to answer.
-    pub(super) fn requeue_held_back(&mut self, net: &mut dyn Net) {
-        for held_back in std::mem::take(&mut self.connections.held_back) {
-            let tag = held_back.tag;
-            let Some(call) = self.connections.calls.get_mut(&tag).filter(|call| call.is_open) else {
-                continue;
-            };
-            let (socket, repeated_on) = (call.caller, call.repeated_on);
-            let Some(mut start) = call.start.take() else { continue };
-            let (Ok(description), Some(product)) =
-                (String::from_utf8(held_back.description), self.classes.get(&start.class).copied())
-            else {
-                continue;
-            };
-            start.description = description;
-            let deadline = call.deadline;
-            self.hang_up(tag, net);
-            self.edge.forget_concluded(&dialogue_id(tag));
-            let owner = repeated_on.filter(|_| !self.connections.callers.contains_key(&socket));
-            let socket = owner.unwrap_or(socket);
-            if let Some(caller) = self.connections.callers.get_mut(&socket) {
-                caller.open_set_ups.insert(tag);
-                let set_up = QueuedSetUp { start: *start, product, deadline, not_before: Duration::ZERO };
-                self.intake.push(socket, set_up);
-            }
-        }
-    }
-
-    fn may_admit(&self) -> bool {
-        let ConnectionTable { open_calls, held_description_bytes, bounds, .. } = &self.connections;
-        *open_calls < bounds.admitted_set_ups
-            && held_description_bytes + MAX_MESSAGE_BYTES <= bounds.description_bytes
-    }
-
-    fn refuse_expired(&mut self, net: &mut dyn Net) {
-        while let Some(tag) = self.intake.expired(self.connections.now + REFUSE_BEFORE_DEADLINE) {
-            let Some((socket, set_up)) = self.remove_queued(tag) else { return };
-            // One with very little time is decided on at once if nothing speaks against it.
-            if set_up.not_before.is_zero()
-                && !net.has_unread(socket)
-                && set_up.deadline > self.connections.now
-            {
-                self.admit(socket, set_up, net);
-                continue;
-            }
-            let message = MessageToCaller::Finish { cause: cause::CONGESTION, wait_ms: None };
-            self.connections.send_to_caller(net, socket, tag, message);
-        }
-    }
-
-    /// Passes a set-up to the edge.
-    fn admit(&mut self, socket: SocketId, set_up: QueuedSetUp, net: &mut dyn Net) {
-        let QueuedSetUp { mut start, product, deadline, .. } = set_up;
-        let (now, tag) = (self.connections.now, start.tag);
-        start.time_left_ms = deadline.saturating_sub(now).as_secs_f64() * 1000.0;
-        let dial = self.dial(&start, product);
-        self.connections.held_description_bytes += start.description.len();
-        self.connections.open_calls += 1;
-        let mut call = new_call(socket, &start, true);
-        let description = std::mem::take(&mut start.description);
-        (call.start, call.deadline) = (Some(Box::new(start)), deadline);
-        self.connections.calls.insert(tag, call);
-        if let Some(caller) = self.connections.callers.get_mut(&socket) {
-            caller.open_set_ups.insert(tag);
-        }
-        let extra = vec![Extra { tag: code::DESCRIPTION, value: description.into_bytes() }];
-        let message = Message { frame: Frame::Dial(dial), extra };
-        self.edge.frame_received(now, CALLERS, message, &mut self.connections.effects(net));
-    }
-
-    /// Removes a queued set-up from its queue and from its connection.
-    pub(super) fn remove_queued(&mut self, tag: Tag) -> Option<(SocketId, QueuedSetUp)> {
-        let (socket, set_up) = self.intake.remove(tag)?;
-        if let Some(caller) = self.connections.callers.get_mut(&socket) {
-            caller.open_set_ups.remove(&tag);
-        }
-        Some((socket, set_up))
-    }
-
-    /// A caller gives up a set-up that the module was not given.
-    pub(super) fn give_up_queued(&mut self, tag: Tag) {
-        if let Some((socket, _)) = self.remove_queued(tag) {
-            self.mark_valid(socket);
-            self.edge.remember_concluded(&dialogue_id(tag));
-        }
-    }
-
     /// A queued set-up is sent again on another connection: it is queued there, and not answered on the first one, which
     /// has probably ended. Returns false if it is another set-up, or the same connection.
     fn move_queued(&mut self, socket: SocketId, start: &Start) -> bool {
         let is_repeat = self.intake.get(start.tag).is_some_and(|(owner, queued)| {
             owner != socket && Fingerprint::of(&queued.start) == Fingerprint::of(start)
         });
-        if is_repeat
-            && let Some((_, queued)) = self.remove_queued(start.tag)
-            && let Some(caller) = self.connections.callers.get_mut(&socket)
-        {
-            caller.open_set_ups.insert(start.tag);
-            self.intake.push(socket, queued);
+        if is_repeat && let Some((_, queued)) = self.remove_queued(start.tag) {
+            self.queue(socket, queued);
             self.mark_valid(socket);
         }
         is_repeat
     }
 
-    fn time_left(&self, start: &Start) -> Duration {
+    pub(super) fn time_left(&self, start: &Start) -> Duration {
         Duration::from_secs_f64(start.time_left_ms / 1000.0).min(self.remaining_time())
     }
 
@@ -307,7 +160,7 @@
         self.connections.remember_ending(tag, Ending::GivenUp { launch_from });
     }
 
-    fn dial(&self, start: &Start, product: u16) -> Dial {
+    pub(super) fn dial(&self, start: &Start, product: u16) -> Dial {
         Dial {
             dialogue: dialogue_id(start.tag),
             key: start.key.as_deref().map(|key| DialledKey(Arc::from(key))),
@@ -326,7 +179,7 @@
     }
 }
 
-fn new_call(caller: SocketId, start: &Start, is_open: bool) -> Call {
+pub(super) fn new_call(caller: SocketId, start: &Start, is_open: bool) -> Call {
     Call {
         fingerprint: Fingerprint::of(start),
         was_launched: false,
