Fleet: a member does not take its own writes, told back by peers, for those of a later disk

Cause: a member that has no incarnation yet counts its disk writes on and tells its neighbours; they report that count back in a greeting, and it was compared with the count at the start, so that the disk passed for older than it is and all replicas were dropped.

Why this works: only the first count of each peer is used, and a neighbour is told the own count only after it has reported its own. A peer that knew of more writes than the disk has makes it stale as before.

--- a/crates/fleet/src/incarnations.rs
+++ b/crates/fleet/src/incarnations.rs
@@ -38,8 +38,10 @@
     highest: u64,
     /// What the disk held at the start: the incarnation and its count of writes.
     stored: Option<(u64, u64)>,
-    /// The highest number of writes to the disk of this member that it or a peer knows of.
+    /// The highest number of writes to the disk of this member that it or a peer knew of when this process started.
     write_count: u64,
+    /// Peers that have reported a number of writes. What they report later may be what this process has told them.
+    counted_by: MemberSet,
     /// Incarnations proposed by this process and by the disk's last process: one that was granted and never used is not a later
     /// incarnation.
     own_proposals: Vec<u64>,
@@ -84,6 +86,7 @@
             highest,
             stored,
             write_count,
+            counted_by: MemberSet::default(),
             own_proposals,
             highest_foreign,
             reported_by,
@@ -93,7 +96,7 @@
         }
     }
 
-    /// The highest number of writes to the disk of this member that it or a peer knows of.
+    /// The highest number of writes to the disk of this member that it or a peer knew of when this process started.
     pub fn known_write_count(&self) -> u64 {
         self.write_count
     }
@@ -113,10 +116,14 @@
     }
 
     /// A peer reports the highest incarnation of this member and the count of disk writes that it knows. True: the incarnation is
-    /// another process's and replaces this one.
+    /// another process's and replaces this one. Only the first count of each peer is used: the writes of this process are told to
+    /// peers after that, and what they report later may be those.
     pub fn peer_reported(&mut self, peer: u16, highest: u64, write_count: u64) -> bool {
         self.reported_by.set(peer);
-        self.write_count = self.write_count.max(write_count);
+        if !self.counted_by.has(peer) {
+            self.counted_by.set(peer);
+            self.write_count = self.write_count.max(write_count);
+        }
         // This process proposed it, and the peer granted it.
         if self.proposal.as_ref().is_some_and(|proposed| proposed.incarnation == highest) {
             return false;
@@ -124,6 +131,11 @@
         self.incarnation_seen(highest)
     }
 
+    /// Whether a peer has reported which number of writes it knew of, so that it may be told of those of this process.
+    pub fn has_counted(&self, peer: u16) -> bool {
+        self.counted_by.has(peer)
+    }
+
     /// Whether a peer has reported what it knows of this member's incarnations.
     pub fn has_reported(&self, peer: u16) -> bool {
         self.reported_by.has(peer)
--- a/crates/fleet/src/member/timers.rs
+++ b/crates/fleet/src/member/timers.rs
@@ -76,10 +76,14 @@
         }
     }
 
-    /// Reports the number of own disk writes to a neighbour if it has changed since the last report.
+    /// Reports the number of own disk writes to a neighbour if it has changed since the last report, and not before the neighbour
+    /// has reported which number it knew of.
     fn send_disk_count(&mut self, link: PeerLink, effects: &mut dyn Effects) {
         let saved = self.disk_writes.saved();
         let Some(known) = self.peers.links.get_mut(&link) else { return };
+        if !known.member.is_some_and(|member| self.incarnations.has_counted(member)) {
+            return;
+        }
         if known.sent_write_count.replace(saved) != Some(saved) {
             self.send_to_link(link, Frame::PeerMessage(PeerMessage::DiskCount { saved }), effects);
         }
--- a/crates/fleet/tests/unit/incarnations.rs
+++ b/crates/fleet/tests/unit/incarnations.rs
@@ -146,3 +146,36 @@
     assert!(fresh(start(5) + 3), "proposed by the previous process, which was killed");
     assert!(!fresh(start(5)) && !fresh(0), "another process with this name had it");
 }
+
+/// Guards against a disk that counts as stale because peers report the writes that this process has told them: on a new link, or
+/// when they begin an incarnation.
+#[test]
+fn writes_that_this_process_has_told_its_peers_do_not_make_its_disk_stale() {
+    let stored = Some((start(3), 518));
+    let mut lives = IncarnationTracker::new(0, 5, stored, 0, 1);
+    assert!(!lives.has_counted(1));
+    (1..4).for_each(|peer| assert!(!lives.peer_reported(peer, start(3), 518)));
+    assert!(lives.has_counted(1) && !lives.has_counted(4));
+    (1..4).for_each(|peer| assert!(!lives.peer_reported(peer, start(3), 566)));
+    let life = lives.due_proposal(ms(0)).unwrap();
+    lives.proposal_answered(1, life, true, life);
+    let outcome = lives.proposal_answered(2, life, true, life);
+    assert_eq!(outcome, ProposalOutcome::New { incarnation: life, fresh: true });
+}
+
+/// The other side: what a peer knew before it was told anything shows that the disk is older.
+#[test]
+fn a_disk_with_fewer_writes_than_a_peer_knew_of_is_stale() {
+    for late in 1..4 {
+        let mut lives = IncarnationTracker::new(0, 5, Some((start(3), 518)), 0, 1);
+        for peer in 1..4 {
+            lives.peer_reported(peer, start(3), if peer == late { 566 } else { 400 });
+            lives.peer_reported(peer, start(3), 520);
+        }
+        let life = lives.due_proposal(ms(0)).unwrap();
+        lives.proposal_answered(1, life, true, life);
+        let outcome = lives.proposal_answered(2, life, true, life);
+        assert_eq!(outcome, ProposalOutcome::New { incarnation: life, fresh: false });
+        assert_eq!(lives.known_write_count(), 566);
+    }
+}
