Platform: a full intake takes room from the connection that has most, not from the newcomer

Cause: a connection was allowed as much as was still free. Hundreds of connections with a few set-ups each take all of it, and set-ups that came back from the module were queued beyond the bound; then the newcomer was refused.

Why this works: beyond the bound the last set-up of the connection that takes most memory is refused (longest queue drop), so that a connection is never refused for what others have queued. The bound is memory alone.

--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -107,11 +107,7 @@
         let dialogues = memory / 8 / HELD_BYTES;
         Self {
             admitted_set_ups: dialogues.min(MAX_ADMITTED_SET_UPS),
-            intake: IntakeBounds {
-                count: dialogues / 4,
-                per_connection: MAX_QUEUED_PER_CONNECTION,
-                bytes: memory / 32,
-            },
+            intake: IntakeBounds { per_connection: MAX_QUEUED_PER_CONNECTION, bytes: memory / 32 },
             recent_answer_bytes: memory / 64,
             caller_connections: sockets / 2,
             core_connections: sockets / 4,
--- a/crates/platform/src/intake.rs
+++ b/crates/platform/src/intake.rs
@@ -24,14 +24,22 @@
     pub not_before: Duration,
 }
 
+impl QueuedSetUp {
+    /// Memory that it takes while it is queued.
+    fn bytes(&self) -> usize {
+        OVERHEAD_BYTES + self.start.description.len()
+    }
+}
+
+/// Memory that a queued set-up takes beside its description.
+const OVERHEAD_BYTES: usize = 512;
+
 /// Bounds on what is queued.
 #[derive(Clone, Copy, Debug)]
 pub struct IntakeBounds {
-    /// Number of set-ups.
-    pub count: usize,
     /// Number of set-ups of one connection.
     pub per_connection: usize,
-    /// Bytes of their descriptions.
+    /// Memory of all set-ups together.
     pub bytes: usize,
 }
 
@@ -49,6 +57,8 @@
     set_ups: HashMap<Tag, (SocketId, QueuedSetUp)>,
     /// Set-ups that were removed may still be listed here.
     queues: BTreeMap<SocketId, Queue>,
+    /// The connections by the memory of what they have queued.
+    by_bytes: BTreeSet<(usize, SocketId)>,
     by_deadline: BTreeSet<(Duration, Tag)>,
     /// Set-ups that may not be given to the module yet, by the time from which they may.
     deferred: BTreeSet<(Duration, Tag)>,
@@ -64,6 +74,7 @@
             bounds,
             set_ups: HashMap::new(),
             queues: BTreeMap::new(),
+            by_bytes: BTreeSet::new(),
             by_deadline: BTreeSet::new(),
             deferred: BTreeSet::new(),
             bytes: 0,
@@ -71,20 +82,31 @@
         }
     }
 
-    /// Whether a set-up of this connection may be queued. One connection may hold as much as is still free for the
-    /// others, so that it never takes what they need.
-    pub fn has_room_for(&self, socket: SocketId, description_bytes: usize) -> bool {
-        let (count, bytes) = self.queues.get(&socket).map_or((0, 0), |queue| (queue.count, queue.bytes));
-        count < self.bounds.per_connection
-            && count < self.bounds.count.saturating_sub(self.set_ups.len())
-            && bytes + description_bytes <= self.bounds.bytes.saturating_sub(self.bytes)
+    /// Whether another set-up of this connection may be queued.
+    pub fn has_room_for(&self, socket: SocketId) -> bool {
+        self.queues.get(&socket).is_none_or(|queue| queue.count < self.bounds.per_connection)
+    }
+
+    /// While the set-ups take more memory than they may: the last one of the connection that takes most (longest queue
+    /// drop), so that no connection is refused for what others have queued. It is still queued.
+    pub fn excess(&self) -> Option<Tag> {
+        if self.bytes <= self.bounds.bytes {
+            return None;
+        }
+        let (_, largest) = *self.by_bytes.last()?;
+        let is_own = |tag: &&Tag| self.set_ups.get(tag).is_some_and(|(socket, _)| *socket == largest);
+        let waiting = self.queues.get(&largest).and_then(|queue| queue.tags.iter().rev().find(is_own));
+        let deferred = || self.deferred.iter().rev().map(|(_, tag)| tag).find(is_own);
+        waiting.or_else(deferred).copied()
     }
 
     /// Appends a set-up to the queue of its connection, also beyond the bounds.
     pub fn push(&mut self, socket: SocketId, set_up: QueuedSetUp) {
-        let (tag, bytes) = (set_up.start.tag, set_up.start.description.len());
+        let (tag, bytes) = (set_up.start.tag, set_up.bytes());
         let queue = self.queues.entry(socket).or_default();
+        self.by_bytes.remove(&(queue.bytes, socket));
         (queue.count, queue.bytes) = (queue.count + 1, queue.bytes + bytes);
+        self.by_bytes.insert((queue.bytes, socket));
         if set_up.not_before.is_zero() {
             queue.tags.push_back(tag);
         } else {
@@ -103,12 +125,16 @@
     /// Removes a set-up from its queue.
     pub fn remove(&mut self, tag: Tag) -> Option<(SocketId, QueuedSetUp)> {
         let (socket, set_up) = self.set_ups.remove(&tag)?;
-        let bytes = set_up.start.description.len();
+        let bytes = set_up.bytes();
         self.bytes -= bytes;
         self.by_deadline.remove(&(set_up.deadline, tag));
         self.deferred.remove(&(set_up.not_before, tag));
         if let Some(queue) = self.queues.get_mut(&socket) {
+            self.by_bytes.remove(&(queue.bytes, socket));
             (queue.count, queue.bytes) = (queue.count - 1, queue.bytes - bytes);
+            if queue.count > 0 {
+                self.by_bytes.insert((queue.bytes, socket));
+            }
             if queue.count == 0 {
                 self.queues.remove(&socket);
             } else if queue.tags.front() == Some(&tag) {
@@ -172,7 +198,7 @@
         self.set_ups.is_empty()
     }
 
-    /// Bytes of the descriptions queued.
+    /// Memory of the set-ups queued.
     pub fn bytes(&self) -> usize {
         self.bytes
     }
--- a/crates/platform/src/sessions/admission.rs
+++ b/crates/platform/src/sessions/admission.rs
@@ -27,8 +27,7 @@
     ) {
         let (now, tag, time_left) = (self.connections.now, start.tag, self.time_left(&start));
         let held = self.intake.len() + self.edge.sizes().0;
-        let has_room = self.intake.has_room_for(socket, start.description.len())
-            && held < self.connections.bounds.edge.max_dialogues;
+        let has_room = self.intake.has_room_for(socket) && held < self.connections.bounds.edge.max_dialogues;
         let refusal = if self.edge.is_concluded(&dialogue_id(tag)) {
             Some(cause::UNUSABLE)
         } else {
@@ -41,6 +40,7 @@
         }
         let not_before = if launch_from > now { launch_from } else { Duration::ZERO };
         self.queue(socket, QueuedSetUp { start, product, deadline: now + time_left, not_before });
+        self.refuse_excess(net);
     }
 
     /// Gives the module queued set-ups, from each connection in turn, while it has room for them. The input of a connection
@@ -77,6 +77,7 @@
                 self.hang_up(tag, net);
                 self.edge.forget_concluded(&dialogue_id(tag));
                 self.queue(socket, set_up);
+                self.refuse_excess(net);
             }
         }
     }
@@ -110,6 +111,14 @@
             && held_description_bytes + MAX_MESSAGE_BYTES <= bounds.description_bytes
     }
 
+    /// Refuses set-ups beyond the memory that may be used for queued ones.
+    fn refuse_excess(&mut self, net: &mut dyn Net) {
+        while let Some((socket, set_up)) = self.intake.excess().and_then(|tag| self.remove_queued(tag)) {
+            let message = MessageToCaller::Finish { cause: cause::CONGESTION, wait_ms: None };
+            self.connections.send_to_caller(net, socket, set_up.start.tag, message);
+        }
+    }
+
     /// Refuses queued set-ups whose callers stop waiting soon. One that had very little time from the beginning is decided
     /// on at once, if its connection's input was read.
     fn refuse_expired(&mut self, net: &mut dyn Net) {
